--- /dev/null
+++ b/src/bookkeeping/budget.rs
@@ -0,0 +1,73 @@
+//! Token buckets that keep the request rates of the state service and the cloud.
+
+/// A bucket with a burst of one second's worth.
+#[derive(Debug, Clone)]
+pub struct Bucket {
+    per_s: f64,
+    burst: f64,
+    tokens: f64,
+    at: u64,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn new(per_s: f64, now: u64) -> Bucket {
+        let burst = per_s.max(1.0);
+        Bucket {
+            per_s,
+            burst,
+            tokens: burst,
+            at: now,
+        }
+    }
+
+    /// Changes the rate from now on.
+    pub fn set_rate(&mut self, per_s: f64, now: u64) {
+        self.refill(now);
+        self.per_s = per_s;
+        self.burst = per_s.max(1.0);
+        self.tokens = self.tokens.min(self.burst);
+    }
+
+    fn refill(&mut self, now: u64) {
+        let dt = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.at = now;
+        self.tokens = (self.tokens + dt * self.per_s).min(self.burst);
+    }
+
+    /// Takes `n` if that leaves `keep`.
+    pub fn take(&mut self, n: f64, keep: f64, now: u64) -> bool {
+        self.refill(now);
+        // A request larger than the burst passes when the bucket is full.
+        if self.tokens - n >= keep || self.tokens >= self.burst - 1e-9 {
+            self.tokens -= n;
+            return true;
+        }
+        false
+    }
+
+    /// The service said that it was asked too often: our count is behind.
+    pub fn drain(&mut self, now: u64) {
+        self.refill(now);
+        self.tokens = self.tokens.min(0.0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_bucket_gives_its_rate_and_no_more() {
+        let mut b = Bucket::new(10.0, 0);
+        let mut given = 0;
+        for ms in 0..2_000 {
+            given += u32::from(b.take(1.0, 0.0, ms));
+        }
+        assert!(
+            (29..=31).contains(&given),
+            "burst of 10 and 10 a second: {given}"
+        );
+        assert!(!b.take(1.0, 5.0, 2_000), "the reserve is kept");
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/reservation.rs
@@ -0,0 +1,115 @@
+//! The reservation table: what runs on each machine until when, and what sharing costs.
+//!
+//! After the paper, sections 3.2 and 3.3: the ends of running tasks cut a machine's time
+//! into shared windows; in each, the demand beyond capacity is a penalty, and the
+//! penalized time is the penalty times the window's length.
+
+use crate::protocol::Resources;
+
+/// A task on a machine until an estimated end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bucket {
+    /// Milliseconds on the planner's clock.
+    pub end: u64,
+    pub need: Resources,
+    /// Shared bandwidth taken, in cores' worth.
+    pub bandwidth: f64,
+}
+
+/// One machine's row of the table.
+#[derive(Debug, Clone, Default)]
+pub struct Row {
+    pub free: Resources,
+    /// Shared bandwidth there is, in cores' worth.
+    pub capacity: f64,
+    pub buckets: Vec<Bucket>,
+}
+
+impl Row {
+    /// What is free at a time not before now, when nothing more is added.
+    pub fn free_at(&self, t: u64) -> Resources {
+        let mut free = self.free;
+        for b in self.buckets.iter().filter(|b| b.end <= t) {
+            free += b.need;
+        }
+        free
+    }
+
+    /// Adds a task from now on.
+    pub fn add(&mut self, b: Bucket) {
+        self.free -= b.need;
+        self.buckets.push(b);
+    }
+
+    /// The times at which room may come up: now and every end, in order.
+    pub fn starts(&self, now: u64) -> Vec<u64> {
+        let mut v: Vec<u64> = self
+            .buckets
+            .iter()
+            .map(|b| b.end)
+            .filter(|t| *t > now)
+            .collect();
+        v.push(now);
+        v.sort_unstable();
+        v.dedup();
+        v
+    }
+
+    /// Penalized milliseconds of a task that would run in `[start, start + length]`.
+    pub fn penalized_ms(&self, start: u64, length: u64, bandwidth: f64) -> f64 {
+        if self.capacity <= 0.0 {
+            return 0.0;
+        }
+        let end = start + length;
+        let mut cuts: Vec<u64> = self
+            .buckets
+            .iter()
+            .map(|b| b.end)
+            .filter(|t| *t > start && *t < end)
+            .collect();
+        cuts.push(end);
+        cuts.sort_unstable();
+        let mut from = start;
+        let mut total = 0.0;
+        for to in cuts {
+            let others: f64 = self
+                .buckets
+                .iter()
+                .filter(|b| b.end > from)
+                .map(|b| b.bandwidth)
+                .sum();
+            let demand = others + bandwidth;
+            let penalty = demand.max(self.capacity) / self.capacity - 1.0;
+            total += (to - from) as f64 * penalty;
+            from = to;
+        }
+        total
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn penalized_time_sums_the_saturated_windows() {
+        let need = Resources::new(1.0, 0.0, 0.0);
+        let b = |end, bandwidth| Bucket {
+            end,
+            need,
+            bandwidth,
+        };
+        let mut row = Row {
+            free: Resources::new(8.0, 0.0, 0.0),
+            capacity: 4.0,
+            buckets: vec![],
+        };
+        row.add(b(1_000, 3.0));
+        row.add(b(3_000, 2.0));
+        // Until 1 s: 3 + 2 + 1 over 4; until 3 s: 2 + 1 fits.
+        assert_eq!(row.penalized_ms(0, 5_000, 1.0), 500.0);
+        assert_eq!(row.penalized_ms(1_000, 1_000, 1.0), 0.0);
+        assert_eq!(row.free_at(1_000).cpu, 7_000);
+        assert_eq!(row.starts(0), vec![0, 1_000, 3_000]);
+    }
+}
--- /dev/null
+++ b/src/constants.rs
@@ -0,0 +1,242 @@
+//! Every constant of the program, each with its unit and its reason.
+//!
+//! What a deployment can differ in comes from the settings, the catalogue and the
+//! reports; these are the project's own choices.
+
+/// Milliseconds in a second; durations inside the program are whole milliseconds.
+pub const MS_PER_S: f64 = 1000.0;
+
+// --- HTTP -----------------------------------------------------------------------
+
+/// Bytes of a request line or response line and all header lines; more is answered 431.
+pub const HTTP_HEAD_MAX: usize = 16 * 1024;
+/// Bytes of a request body: the protocol's limit of 64 KiB; more is answered 413.
+pub const HTTP_BODY_MAX: usize = 64 * 1024;
+/// Bytes of a body between controllers or from the state service. Watches have no
+/// size limit in the protocol; this bounds memory well under the smallest limit seen.
+pub const HTTP_REPLY_MAX: usize = 24 * 1024 * 1024;
+/// Header lines in one message; far above what clients send, bounds the parser's work.
+pub const HTTP_HEADERS_MAX: usize = 100;
+/// Milliseconds a connection may take to complete a request it has begun.
+pub const HTTP_REQUEST_MS: u64 = 10_000;
+/// Milliseconds an inbound connection may stay open with nothing to do. Users poll
+/// every 5 s and workers report more often.
+pub const HTTP_IDLE_MS: u64 = 60_000;
+/// Bytes read from one socket at a time; one report or answer normally fits.
+pub const READ_CHUNK: usize = 16 * 1024;
+
+// --- sockets --------------------------------------------------------------------
+
+/// Share of the socket limit that inbound user-facing connections may use; the rest
+/// stays free for the state service, the cloud, peers and the listeners themselves.
+pub const INBOUND_SOCKET_SHARE: f64 = 0.85;
+/// Connections kept to one target; requests beyond wait for a free one.
+pub const OUTBOUND_PER_TARGET: usize = 12;
+/// Requests waiting for an outbound connection; more fail at once.
+pub const OUTBOUND_QUEUE: usize = 512;
+/// Pending connections the kernel may hold for a listener.
+pub const LISTEN_BACKLOG: i32 = 1024;
+/// Milliseconds between sweeps for idle and overdue connections.
+pub const SWEEP_MS: u64 = 250;
+/// Longest wait of the poll loop in milliseconds, so that timers stay live.
+pub const POLL_MAX_MS: u64 = 100;
+
+// --- the command queue ----------------------------------------------------------
+
+/// User requests taken from one batch; those beyond are answered 503 at once, so
+/// that reports and decisions keep their turn.
+pub const BATCH_USER_MAX: usize = 256;
+/// User requests waiting for the state service; more are answered 503 at once.
+pub const USER_WAIT_MAX: usize = 2_000;
+/// Seconds of `Retry-After` when something the service depends on is missing.
+pub const RETRY_AFTER_S: u64 = 1;
+/// Seconds of `Retry-After` when the queue is full: lets a burst pass.
+pub const RETRY_AFTER_BUSY_S: u64 = 2;
+
+// --- state service --------------------------------------------------------------
+
+/// All keys of the service start with this.
+pub const KEY_ROOT: &str = "mg/";
+/// Milliseconds to wait for an ordinary answer: answers take 10 ms, at times a few
+/// hundred, and a user's poll gives up after 2 s.
+pub const STATE_CALL_MS: u64 = 1_200;
+/// Milliseconds to wait for a page of the whole store at start.
+pub const STATE_LIST_MS: u64 = 4_000;
+/// Keys per page of the whole store; the protocol's maximum.
+pub const STATE_LIST_LIMIT: usize = 1_000;
+/// Milliseconds a watch stays open. Zero-wait reads catch up when a watch is stuck,
+/// so this only bounds how long a dead connection lives.
+pub const WATCH_BLOCK_MS: u64 = 5_000;
+/// Milliseconds after which an open watch counts as lost.
+pub const WATCH_CALL_MS: u64 = 8_000;
+/// Milliseconds between zero-wait reads when nobody asks for one: shows whether the
+/// state service serves us and replaces a stuck watch.
+pub const PULSE_MS: u64 = 700;
+/// Least milliseconds between two zero-wait reads; polls in between share one.
+pub const FRESH_GAP_MS: u64 = 20;
+/// Milliseconds to wait before asking again after the state service refused.
+pub const STATE_RETRY_MS: u64 = 250;
+/// Share of the request rate that one controller uses, times the number of controllers.
+pub const STATE_RPS_SHARE: f64 = 0.85;
+/// Share of the write rate the leader may use; the rest is for submissions elsewhere.
+pub const WRITE_SHARE_LEADER: f64 = 0.6;
+/// Writes kept free in the leader's bucket for submissions and cancellations.
+pub const WRITE_RESERVE: f64 = 3.0;
+/// Tasks in one stored bitmap of done tasks; its text form is a quarter of this in bytes
+/// and stays under the smallest value limit seen.
+pub const DONE_CHUNK_TASKS: u32 = 8_192;
+/// Bytes that one placement takes in a machine's key, rounded up; bounds how many
+/// tasks a machine may hold at a time so that its key fits the value limit.
+pub const PLACEMENT_BYTES: usize = 48;
+/// Bytes of a machine's key kept for its images and framing.
+pub const PLACEMENT_FRAME_BYTES: usize = 700;
+/// Images remembered for a machine in its key.
+pub const IMAGES_KEPT: usize = 10;
+
+// --- leadership -----------------------------------------------------------------
+
+/// Milliseconds that the leader's lease lasts without renewal.
+pub const LEADER_LIFE_MS: u64 = 3_000;
+/// Milliseconds between renewals: three may fail before the lease ends.
+pub const LEADER_RENEW_MS: u64 = 750;
+/// Milliseconds to wait for the answer of a renewal.
+pub const LEADER_RENEW_CALL_MS: u64 = 700;
+/// Longest random wait in milliseconds before standing for election, so that
+/// controllers seldom collide.
+pub const ELECTION_JITTER_MS: u64 = 120;
+/// Milliseconds for which a controller that handed over doesn't stand again.
+pub const HANDOVER_REST_MS: u64 = 20_000;
+/// Bits of an attempt number below the term: attempts of one term.
+pub const ATTEMPT_BITS: u32 = 26;
+/// Milliseconds between two messages to a peer.
+pub const GOSSIP_MS: u64 = 500;
+/// Milliseconds to wait for a peer's answer.
+pub const GOSSIP_CALL_MS: u64 = 900;
+/// Milliseconds after which a peer's word is no longer fresh.
+pub const GOSSIP_FRESH_MS: u64 = 1_800;
+/// Milliseconds to wait for a peer that answers a user's request for us.
+pub const RELAY_CALL_MS: u64 = 1_500;
+/// Version of the messages between controllers; others are dropped with a log line.
+pub const PEER_VERSION: u32 = 1;
+/// Milliseconds without a served state request after which a controller holds itself
+/// for refused, for `/up` and relaying.
+pub const STATE_LOST_MS: u64 = 2_000;
+/// Milliseconds of silence of all workers, while peers see them, before a leader hands over.
+pub const LEADER_DEAF_MS: u64 = 9_000;
+
+// --- workers --------------------------------------------------------------------
+
+/// Share by which a steady clock may be off, doubled for two clocks (protocol: 0.05%).
+pub const CLOCK_DRIFT: f64 = 0.001;
+/// Milliseconds added whenever a worker's lease is taken to be over: covers packet
+/// delay and coarse timers.
+pub const LEASE_MARGIN_MS: u64 = 1_500;
+/// Milliseconds added where `cancel_s` must hold without the state service.
+pub const CANCEL_MARGIN_MS: u64 = 3_000;
+/// Longest time in milliseconds that the answer to a report waits for a commit that
+/// may add orders to it; a worker gives up after 4 s.
+pub const REPORT_HOLD_MS: u64 = 400;
+/// Report periods of silence after which a machine gets no new tasks.
+pub const SILENT_PERIODS: f64 = 2.2;
+
+/// Seconds of `wind_down_s` beyond a task's `mark_cost_s`: a machine may be slow.
+pub const WIND_DOWN_EXTRA_S: f64 = 1.0;
+
+// --- planning -------------------------------------------------------------------
+
+/// Milliseconds between planning passes (DESIGN: every 2 s to start with).
+pub const PASS_PERIOD_MS: u64 = 2_000;
+/// Least milliseconds between two passes that events bring forward.
+pub const PASS_GAP_MS: u64 = 60;
+/// Milliseconds between commits of done-task bitmaps alone (DESIGN: batched every 2 s).
+pub const DONE_BATCH_MS: u64 = 2_000;
+/// Penalty factors tried for a reservation (DESIGN, from the paper's evaluation).
+pub const THRESHOLDS: [f64; 4] = [1.15, 1.20, 1.25, 1.5];
+/// What a core of a task takes of the shared bandwidth of a machine's core, by class. The
+/// paper's machine has 1,500 MB/s a processor and its classes use 500 and 1,000; high is
+/// set so that a machine full of such tasks saturates.
+pub const BANDWIDTH_LOW: f64 = 500.0 / 1500.0;
+/// See [`BANDWIDTH_LOW`].
+pub const BANDWIDTH_MEDIUM: f64 = 1000.0 / 1500.0;
+/// See [`BANDWIDTH_LOW`].
+pub const BANDWIDTH_HIGH: f64 = 2000.0 / 1500.0;
+/// Seconds a service is taken to run on in the reservation table; long enough that
+/// nothing waits for it to end.
+pub const STANDING_RUN_S: f64 = 3_600.0;
+/// Seconds that stand in for a service's run time where slowdowns are compared: about
+/// what its users would wait for it.
+pub const STANDING_REF_S: f64 = 30.0;
+/// Runs of a class to see before its guesses are corrected.
+pub const RATIO_SAMPLES_MIN: u32 = 5;
+/// Least seconds of an estimate: keeps slowdowns finite.
+pub const ESTIMATE_MIN_S: f64 = 1.0;
+/// Seconds by which an overdue task is taken to run on, as a share of what it ran.
+pub const OVERDUE_SHARE: f64 = 0.25;
+/// Tasks of one job considered in one pass; the next pass goes on.
+pub const JOB_TASKS_PER_PASS: usize = 64;
+/// Jobs looked at by one pass, oldest first; bounds its time with huge queues.
+pub const JOBS_PER_PASS: usize = 200;
+/// Tasks placed by one pass; bounds the commit that follows.
+pub const PLACES_PER_PASS: usize = 128;
+/// Milliseconds a started task is left alone before it may be stopped for others: a
+/// start counts for users when it lasts 30 s.
+pub const PREEMPT_SHIELD_MS: u64 = 30_000;
+/// Weight of the newest sample in the averages of run times per class.
+pub const AVERAGE_WEIGHT: f64 = 0.1;
+/// First pause in milliseconds of a job whose tasks fail on several machines, doubled each time.
+pub const FAIL_PAUSE_MS: u64 = 2_000;
+/// Longest such pause in milliseconds.
+pub const FAIL_PAUSE_MAX_MS: u64 = 60_000;
+/// Different machines on which a job failed, with no success, before it is held for a bad job.
+pub const BAD_JOB_MACHINES: usize = 2;
+/// Failures on a machine of jobs not held for bad before the machine is set aside.
+pub const SICK_FAILURES: u32 = 2;
+/// Milliseconds for which a failure counts against a machine.
+pub const SICK_WINDOW_MS: u64 = 60_000;
+
+// --- fleet ----------------------------------------------------------------------
+
+/// Milliseconds between two reads of the machine list.
+pub const LIST_PERIOD_MS: u64 = 3_000;
+/// Milliseconds between two reads of the catalogue (prices move).
+pub const CATALOG_PERIOD_MS: u64 = 30_000;
+/// Milliseconds to wait for the cloud; it answers in some hundred.
+pub const CLOUD_CALL_MS: u64 = 5_000;
+/// Milliseconds before the cloud is asked again after a failure.
+pub const CLOUD_RETRY_MS: u64 = 1_000;
+/// Milliseconds for which "no capacity" for a type, zone and kind is remembered.
+pub const CAPACITY_REST_MS: u64 = 20_000;
+/// Machines in one page of the list; the protocol's maximum.
+pub const LIST_LIMIT: usize = 500;
+/// Machines in one rental; the protocol's maximum.
+pub const RENT_MAX: usize = 50;
+/// Machines in one deletion; the protocol's maximum.
+pub const DELETE_MAX: usize = 100;
+/// Times its `ready_s` after which a booting machine no longer counts as coming soon.
+pub const BOOT_LATE: f64 = 1.8;
+/// Times its `ready_s` after which a booting machine is deleted.
+pub const BOOT_LOST: f64 = 3.5;
+/// Seconds of idleness before a machine is returned.
+pub const IDLE_RETURN_S: f64 = 25.0;
+/// Seconds paid for at least (protocol: a deleted machine costs at least 60 s): returning
+/// sooner saves nothing.
+pub const CHARGE_MIN_S: f64 = 60.0;
+/// Share of the machines in use that is kept free for work to come.
+pub const HEADROOM_SHARE: f64 = 0.08;
+/// Milliseconds between two looks at the size of the fleet.
+pub const FLEET_PERIOD_MS: u64 = 1_000;
+/// Milliseconds a machine may be silent, once its tasks are settled, before it is deleted.
+pub const SILENT_DELETE_MS: u64 = 45_000;
+/// Seconds in which the queue of batch work should be worked off, at the least.
+pub const DRAIN_TARGET_S: f64 = 45.0;
+/// Seconds before a spot machine is taken at which tasks that can save are told to, beyond
+/// their own `mark_cost_s`.
+pub const RECALL_MARGIN_S: f64 = 4.0;
+/// Milliseconds added to how long the machine list may lag before absence is believed.
+pub const LIST_MARGIN_MS: u64 = 2_000;
+/// Slots below which a demand is met: rounding.
+pub const SLOT_EPSILON: f64 = 0.05;
+/// Milliseconds over which arrivals of services are counted.
+pub const ARRIVAL_WINDOW_MS: u64 = 120_000;
+/// Slots kept for services beyond the arrivals expected while a machine boots.
+pub const SPARE_SERVICE_SLOTS: f64 = 1.0;
--- /dev/null
+++ b/src/coordination/election.rs
@@ -0,0 +1,206 @@
+//! Leadership: a leased key, and a term that only grows, taken in one commit.
+
+use super::*;
+use crate::bookkeeping::records::*;
+use crate::protocol::state::{raw, Committed, Hold, If, NewHold, Write};
+
+/// How far this controller is with becoming leader.
+#[derive(Debug, Default)]
+pub(crate) struct Election {
+    /// A call for it is under way.
+    busy: bool,
+    /// When we may stand, once there is no leader.
+    stand_at: Option<u64>,
+    /// We handed over and let others go first until then.
+    pub rest_until: u64,
+}
+
+impl Controller {
+    pub(super) fn election_due(&mut self) {
+        let now = self.now.mono;
+        if self.leader.is_some()
+            || self.election.busy
+            || !self.served()
+            || now < self.election.rest_until
+        {
+            return;
+        }
+        let vacant = match &self.replica.leader {
+            None => true,
+            // An earlier life of this very controller: it is surely over.
+            Some(l) => l.value.label == self.cfg.label && l.value.incarnation != self.incarnation,
+        };
+        if !vacant {
+            self.election.stand_at = None;
+            return;
+        }
+        let at = match self.election.stand_at {
+            Some(at) => at,
+            None => {
+                let at = now + self.rng.random_range(0..=c::ELECTION_JITTER_MS);
+                self.election.stand_at = Some(at);
+                at
+            }
+        };
+        if now < at {
+            return;
+        }
+        self.election.busy = true;
+        let body = serde_json::to_vec(&NewHold {
+            life_ms: c::LEADER_LIFE_MS,
+        })
+        .unwrap_or_default();
+        self.state_call(
+            "POST",
+            "/holds".into(),
+            body,
+            c::STATE_CALL_MS,
+            Purpose::Hold,
+        );
+    }
+
+    pub(super) fn hold_given(&mut self, reply: Option<(u16, Vec<u8>)>) {
+        self.election.busy = false;
+        self.election.stand_at = None;
+        let hold: Option<Hold> = match reply {
+            Some((200 | 201, body)) => serde_json::from_slice(&body).ok(),
+            _ => None,
+        };
+        let Some(hold) = hold else { return };
+        let own = |l: &LeaderRec| l.label == self.cfg.label && l.incarnation != self.incarnation;
+        let leader_stamp = match &self.replica.leader {
+            None => 0,
+            Some(l) if own(&l.value) => l.stamp,
+            Some(_) => return,
+        };
+        let term = self.replica.term().max(self.term_heard) + 1;
+        let rec = LeaderRec {
+            label: self.cfg.label.clone(),
+            incarnation: self.incarnation,
+            term,
+        };
+        let commit = Commit {
+            conditions: vec![
+                If {
+                    key: leader_key(),
+                    stamp: leader_stamp,
+                },
+                If {
+                    key: term_key(),
+                    stamp: self.replica.stamp(&term_key()),
+                },
+            ],
+            writes: vec![
+                Write::Put {
+                    write: leader_key(),
+                    data: raw(&rec),
+                    tenancy: Some(hold.tenancy),
+                },
+                Write::put(term_key(), &TermRec { term }),
+            ],
+        };
+        self.election.busy = true;
+        self.writes.take(2.0, f64::MIN, self.now.mono);
+        let body = serde_json::to_vec(&commit).unwrap_or_default();
+        let purpose = Purpose::Elect {
+            tenancy: hold.tenancy,
+            term,
+        };
+        self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
+    }
+
+    pub(super) fn elected(&mut self, tenancy: u64, term: u64, reply: Option<(u16, Vec<u8>)>) {
+        self.election.busy = false;
+        let won: Option<Committed> = match reply {
+            Some((200, body)) => serde_json::from_slice(&body).ok(),
+            // An unanswered commit may still apply. Nobody renews its lease then, so it
+            // ends by itself, and the next attempt takes a new term.
+            _ => None,
+        };
+        let Some(won) = won else { return };
+        if self.term_heard >= term {
+            return;
+        }
+        log::info!("leads in term {term}");
+        self.term_heard = term;
+        self.sync.max_rev = self.sync.max_rev.max(won.ledger_rev);
+        let n = self.cfg.controllers() as f64;
+        let rate = self.cfg.params.state.write_rps;
+        let share = c::WRITE_SHARE_LEADER + (1.0 - c::WRITE_SHARE_LEADER) / n;
+        self.writes.set_rate(rate * share, self.now.mono);
+        let all = self.cfg.params.cloud.rps * c::STATE_RPS_SHARE;
+        self.cloud.set_rate(all, self.now.mono);
+        self.leader = Some(Leader::new(term, won.ledger_rev, tenancy, self.now.mono));
+        self.leader_wants_fresh();
+    }
+
+    pub(super) fn renew_due(&mut self) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        if l.renewing || now < l.renew_at {
+            return;
+        }
+        l.renewing = true;
+        l.renew_at = now + c::LEADER_RENEW_MS;
+        let tenancy = l.tenancy;
+        let path = format!("/holds/{tenancy}/renew");
+        let purpose = Purpose::Renew { tenancy, sent: now };
+        self.state_call(
+            "POST",
+            path,
+            b"{}".to_vec(),
+            c::LEADER_RENEW_CALL_MS,
+            purpose,
+        );
+    }
+
+    pub(super) fn renewed(&mut self, tenancy: u64, _sent: u64, reply: Option<(u16, Vec<u8>)>) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut().filter(|l| l.tenancy == tenancy) else {
+            return;
+        };
+        l.renewing = false;
+        match reply {
+            Some((200..=299, _)) => {}
+            Some((404, _)) => self.step_down("the lease has ended"),
+            _ => l.renew_at = now + c::STATE_RETRY_MS,
+        }
+    }
+
+    /// Steps down when someone has a higher term, or our key is not ours any more.
+    pub(super) fn check_term(&mut self) {
+        let Some(l) = &self.leader else { return };
+        if self.term_heard > l.term {
+            return self.step_down("there is a higher term");
+        }
+        let known = self.replica.rev >= l.stamp;
+        if known && self.replica.stamp(&leader_key()) != l.stamp {
+            self.step_down("the leader key is not ours");
+        }
+    }
+
+    pub(super) fn step_down(&mut self, why: &str) {
+        let Some(l) = self.leader.take() else { return };
+        log::info!("no longer leads in term {}: {why}", l.term);
+        let n = self.cfg.controllers() as f64;
+        let share = (1.0 - c::WRITE_SHARE_LEADER) / n;
+        self.writes
+            .set_rate(self.cfg.params.state.write_rps * share, self.now.mono);
+        let rps = self.cfg.params.cloud.rps * c::STATE_RPS_SHARE / n;
+        self.cloud.set_rate(rps, self.now.mono);
+        for held in l.held {
+            self.elsewhere(held.conn);
+        }
+    }
+
+    /// Gives leadership up so that a controller that hears the workers can take it.
+    pub(super) fn hand_over(&mut self, why: &str) {
+        let Some(l) = &self.leader else { return };
+        let path = format!("/holds/{}", l.tenancy);
+        self.state_call("DELETE", path, vec![], c::STATE_CALL_MS, Purpose::StepDown);
+        self.election.rest_until = self.now.mono + c::HANDOVER_REST_MS;
+        self.step_down(why);
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,734 @@
+//! The machines: what is there, what to rent, what to return.
+
+use super::leader::View;
+use super::planner::Plan;
+use super::*;
+use crate::bookkeeping::books::*;
+use crate::bookkeeping::records::*;
+use crate::protocol::cloud::{hosts_path, Build, Host, HostStatus, Hosts, Names, Rent};
+use crate::protocol::users::Shape;
+use crate::protocol::Resources;
+use std::collections::{HashSet, VecDeque};
+
+/// A rental under way. Its name is never used for another one.
+#[derive(Debug, Clone)]
+pub(crate) struct Rental {
+    hire: String,
+    build: usize,
+    yard: String,
+    spot: bool,
+    number: usize,
+}
+
+/// A kind of machine that can be rented.
+type Kind = (String, String, bool);
+
+/// Tasks that found no room in the last pass.
+#[derive(Debug, Clone)]
+struct Unmet {
+    need: Resources,
+    spot_ok: bool,
+    standing: bool,
+    skus: Vec<bool>,
+    yard: Option<String>,
+    /// Tasks, and slots that are wanted for them.
+    slots: f64,
+    in_yard: Vec<(String, u32)>,
+    zone_cap: u32,
+}
+
+/// The leader's view of the fleet.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    list_at: u64,
+    listing: bool,
+    list_begun: u64,
+    pages: Vec<Host>,
+    listed_once: bool,
+    look_at: u64,
+    rentals: Vec<Rental>,
+    no_capacity: HashMap<Kind, u64>,
+    gone: HashSet<Name>,
+    unmet: Vec<Unmet>,
+    /// Arrivals of service tasks: when, how many.
+    arrivals: VecDeque<(u64, u32)>,
+    seen_arrival: u64,
+    cloud_at: u64,
+}
+
+impl Fleet {
+    pub(super) fn new(now: u64) -> Fleet {
+        Fleet {
+            list_at: now,
+            look_at: now,
+            cloud_at: now,
+            ..Fleet::default()
+        }
+    }
+
+    pub(super) fn is_gone(&self, name: &str) -> bool {
+        self.gone.contains(name)
+    }
+
+    /// Remembers what a pass found no room for.
+    pub(super) fn note_unmet(&mut self, view: &View, plan: &Plan) {
+        let s = &view.snapshot;
+        self.unmet.clear();
+        for (j, n) in plan.unmet.iter().enumerate().filter(|(_, n)| **n > 0) {
+            let job = &s.jobs[j];
+            // Within the team's limit.
+            let team = &s.teams[job.team];
+            let mut left = i64::from(*n);
+            if team.limit.gpu > 0 && job.need.gpu > 0 {
+                left = left.min((team.limit.gpu - team.used.gpu) / job.need.gpu);
+            }
+            if team.limit.cpu > 0 && job.need.cpu > 0 {
+                left = left.min((team.limit.cpu - team.used.cpu) / job.need.cpu);
+            }
+            if left <= 0 {
+                continue;
+            }
+            // A slot serves short tasks one after the other.
+            let run_s = job.run_ms as f64 / c::MS_PER_S;
+            let per_task = if job.standing {
+                1.0
+            } else {
+                (run_s / c::DRAIN_TARGET_S).min(1.0)
+            };
+            self.unmet.push(Unmet {
+                need: job.need,
+                spot_ok: job.spot_ok,
+                standing: job.standing,
+                skus: job.skus.clone(),
+                yard: job.zone.map(|z| view.zones[z].clone()),
+                slots: left as f64 * per_task,
+                in_yard: view
+                    .zones
+                    .iter()
+                    .cloned()
+                    .zip(job.in_zone.iter().copied())
+                    .collect(),
+                zone_cap: job.zone_cap,
+            });
+        }
+    }
+}
+
+impl Controller {
+    pub(super) fn catalog_due(&mut self) {
+        let now = self.now.mono;
+        let period = if self.leader.is_some() {
+            c::CATALOG_PERIOD_MS
+        } else {
+            c::CATALOG_PERIOD_MS * 10
+        };
+        let wait = if self.catalog.is_some() {
+            period
+        } else {
+            c::CLOUD_RETRY_MS
+        };
+        if self.catalog_asked || self.catalog_at.is_some_and(|t| now < t + wait) {
+            return;
+        }
+        if self.cloud.take(1.0, 0.0, now) {
+            self.catalog_asked = true;
+            self.catalog_at = Some(now);
+            self.call(
+                Service::Cloud,
+                "GET",
+                "/catalog".into(),
+                vec![],
+                c::CLOUD_CALL_MS,
+                Purpose::Catalog,
+            );
+        }
+    }
+
+    pub(super) fn catalog_answered(&mut self, reply: Option<(u16, Vec<u8>)>) {
+        self.catalog_asked = false;
+        let Some((200, body)) = reply else { return };
+        match serde_json::from_slice::<Catalog>(&body) {
+            Ok(catalog) => self.catalog = Some(Rc::new(catalog)),
+            Err(e) => log::error!("catalogue can't be read: {e}"),
+        }
+    }
+
+    pub(super) fn fleet_due(&mut self) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        if !l.fleet.listing && now >= l.fleet.list_at && self.cloud.take(1.0, 0.0, now) {
+            l.fleet.listing = true;
+            l.fleet.list_begun = now;
+            l.fleet.pages.clear();
+            l.fleet.list_at = now + c::LIST_PERIOD_MS;
+            let purpose = Purpose::Hosts { begun: now };
+            let path = hosts_path(None, c::LIST_LIMIT);
+            self.call(
+                Service::Cloud,
+                "GET",
+                path,
+                vec![],
+                c::CLOUD_CALL_MS,
+                purpose,
+            );
+        }
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        if now >= l.fleet.look_at {
+            l.fleet.look_at = now + c::FLEET_PERIOD_MS;
+            self.forget_gone();
+            self.return_machines();
+            if self.served() {
+                self.rent_machines();
+            }
+        }
+    }
+
+    pub(super) fn hosts_answered(&mut self, begun: u64, reply: Option<(u16, Vec<u8>)>) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        if l.fleet.list_begun != begun {
+            return;
+        }
+        let hosts: Option<Hosts> = match reply {
+            Some((200, body)) => serde_json::from_slice(&body).ok(),
+            _ => None,
+        };
+        let Some(hosts) = hosts else {
+            l.fleet.listing = false;
+            l.fleet.list_at = now + c::CLOUD_RETRY_MS;
+            return;
+        };
+        let last = hosts.steads.last().map(|h| h.uid.clone());
+        l.fleet.pages.extend(hosts.steads);
+        if let (true, Some(last)) = (hosts.has_next, last) {
+            self.cloud.take(1.0, f64::MIN, now);
+            let path = hosts_path(Some(&last), c::LIST_LIMIT);
+            let purpose = Purpose::Hosts { begun };
+            return self.call(
+                Service::Cloud,
+                "GET",
+                path,
+                vec![],
+                c::CLOUD_CALL_MS,
+                purpose,
+            );
+        }
+        l.fleet.listing = false;
+        self.list_complete(begun);
+    }
+
+    /// Compares a whole list with the books. A list asked for at `begun` describes a moment
+    /// no more than twice the lag earlier.
+    fn list_complete(&mut self, begun: u64) {
+        let now = self.now.mono;
+        let lag = (self.cfg.params.cloud.list_lag_s * 2.0 * c::MS_PER_S) as u64 + c::LIST_MARGIN_MS;
+        let replica = &self.replica;
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        let hosts = std::mem::take(&mut l.fleet.pages);
+        l.fleet.listed_once = true;
+        let listed: HashSet<&str> = hosts.iter().map(|h| h.uid.as_str()).collect();
+        let mut dead: Vec<Name> = Vec::new();
+        for h in &hosts {
+            if l.fleet.is_gone(&h.uid) {
+                continue;
+            }
+            let name: Name = h.uid.as_str().into();
+            let new = !l.books.machines.contains_key(&name);
+            let m = l
+                .books
+                .machine_entry(&name, replica.stamp(&place_key(&name)), now);
+            if m.sku.is_empty() {
+                m.sku = h.build.clone();
+                m.yard = h.yard.clone();
+                m.spot = h.lendables;
+            }
+            if new || m.listed_at.is_none() {
+                m.rented_at = begun.saturating_sub((h.age_s.max(0.0) * c::MS_PER_S) as u64);
+                if m.rented_at == 0 {
+                    m.rented_at = 1;
+                }
+            }
+            m.listed_at.get_or_insert(now);
+            if h.status == HostStatus::Failed && m.life != Life::Gone {
+                dead.push(name);
+            }
+        }
+        for name in dead {
+            log::info!("{name}: listed as failed");
+            l.books.settle_all(&name);
+            if let Some(m) = l.books.machines.get_mut(&name) {
+                m.draining = true;
+                m.lapsed = true;
+            }
+            l.plan_soon(now);
+        }
+        let mut gone = Vec::new();
+        for m in l.books.machines.values() {
+            let known_at = m.listed_at.or(m.up_at).unwrap_or(m.known_at);
+            if m.life != Life::Gone && !listed.contains(&*m.name) && begun > known_at + lag {
+                // A worker that reported after that moment is surely there.
+                if m.reported_at.is_none_or(|t| begun > t + lag) {
+                    gone.push(m.name.clone());
+                }
+            }
+        }
+        for name in gone {
+            log::info!("{name}: gone");
+            self.machine_gone(&name);
+        }
+    }
+
+    /// A machine and everything on it has surely ceased to be.
+    fn machine_gone(&mut self, name: &Name) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        l.fleet.gone.insert(name.clone());
+        l.books.settle_all(name);
+        if let Some(m) = l.books.machines.get_mut(name) {
+            m.life = Life::Gone;
+            m.kits.clear();
+            if m.key_stamp != 0 {
+                m.touch(false);
+            }
+        }
+        l.plan_soon(now);
+    }
+
+    fn forget_gone(&mut self) {
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        l.books
+            .machines
+            .retain(|_, m| m.life != Life::Gone || !m.placements.is_empty() || m.dirty);
+    }
+
+    // --- returning -----------------------------------------------------------------
+
+    fn return_machines(&mut self) {
+        let now = self.now.mono;
+        let op = self.op.clone();
+        let Some(catalog) = self.catalog.clone() else {
+            return;
+        };
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        let spare = l.spare_slots(now, &catalog);
+        let mut free_slots: f64 = 0.0;
+        for m in l.books.machines.values().filter(|m| usable(m) && !m.spot) {
+            free_slots += spare
+                .as_ref()
+                .map_or(0.0, |(need, _)| l.books.free(m).times(need) as f64);
+        }
+        let idle_ms = (op.idle_return_s * c::MS_PER_S) as u64;
+        let mut names = Vec::new();
+        for m in l.books.machines.values() {
+            let ready = ready_ms(&catalog, &m.sku);
+            let empty = m.placements.is_empty();
+            let age = now.saturating_sub(m.rented_at);
+            let back = match m.life {
+                Life::Gone | Life::Deleting => false,
+                Life::Booting => age as f64 > ready as f64 * c::BOOT_LOST,
+                Life::Up if m.lapsed => {
+                    m.answered_at.is_none_or(|t| now > t + c::SILENT_DELETE_MS) || m.draining
+                }
+                Life::Up if m.draining => empty,
+                Life::Up if !empty || m.recall_at.is_some() => false,
+                Life::Up => {
+                    let idle = m.idle_since.is_some_and(|t| now >= t + idle_ms);
+                    let paid = age as f64 >= c::CHARGE_MIN_S * c::MS_PER_S;
+                    let needed = match &spare {
+                        Some((need, want)) if !m.spot => {
+                            let here = m.total.times(need) as f64;
+                            let enough = free_slots - here >= *want;
+                            if enough && idle && paid {
+                                free_slots -= here;
+                            }
+                            !enough
+                        }
+                        _ => false,
+                    };
+                    idle && paid && !needed
+                }
+            };
+            // Silent since before this term: nobody may tell any more what runs there.
+            let mute = m.life == Life::Up
+                && !m.lapsed
+                && m.reported_at.is_some_and(|t| now > t + c::SILENT_DELETE_MS);
+            let unheard = m.life == Life::Booting
+                && !empty
+                && now
+                    > m.known_at
+                        + c::SILENT_DELETE_MS
+                        + self.cfg.params.workers.lease_s as u64 * 1000;
+            if back || mute || unheard {
+                names.push(m.name.clone());
+            }
+        }
+        // A leader that hears nobody must not take that for the death of all.
+        if names.is_empty() || now > l.heard_at + c::LEADER_DEAF_MS {
+            return;
+        }
+        names.truncate(c::DELETE_MAX);
+        if !self.cloud.take(1.0, 0.0, now) {
+            return;
+        }
+        for n in &names {
+            if let Some(m) = l.books.machines.get_mut(n) {
+                m.life = Life::Deleting;
+            }
+        }
+        log::info!("returns {}", names.join(", "));
+        let body = Names {
+            steads: names.iter().map(|n| n.to_string()).collect(),
+        };
+        let body = serde_json::to_vec(&body).unwrap_or_default();
+        let purpose = Purpose::Delete(names);
+        self.call(
+            Service::Cloud,
+            "POST",
+            "/hosts/delete".into(),
+            body,
+            c::CLOUD_CALL_MS,
+            purpose,
+        );
+    }
+
+    pub(super) fn delete_answered(&mut self, names: Vec<Name>, reply: Option<(u16, Vec<u8>)>) {
+        if matches!(reply, Some((200, _))) {
+            for n in names {
+                self.machine_gone(&n);
+            }
+            return;
+        }
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        for n in names {
+            // Perhaps carried out, perhaps later: asked for again.
+            if let Some(m) = l
+                .books
+                .machines
+                .get_mut(&n)
+                .filter(|m| m.life == Life::Deleting)
+            {
+                m.life = if m.up_at.is_some() {
+                    Life::Up
+                } else {
+                    Life::Booting
+                };
+                m.draining = true;
+            }
+        }
+    }
+
+    // --- renting -------------------------------------------------------------------
+
+    fn rent_machines(&mut self) {
+        let now = self.now.mono;
+        let Some(catalog) = self.catalog.clone() else {
+            return;
+        };
+        let rent_spot = self.op.rent_spot;
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        if !l.fleet.listed_once || now < l.fleet.cloud_at {
+            return;
+        }
+        // Room that is on its way.
+        struct Coming {
+            total: Resources,
+            build: usize,
+            yard: String,
+            spot: bool,
+        }
+        let mut coming: Vec<Coming> = Vec::new();
+        for m in l
+            .books
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Booting)
+        {
+            let Some(b) = catalog.builds.iter().position(|b| b.sku == m.sku) else {
+                continue;
+            };
+            let build = &catalog.builds[b];
+            let age = now.saturating_sub(m.rented_at) as f64 / c::MS_PER_S;
+            if age <= build.ready_s * c::BOOT_LATE {
+                coming.push(Coming {
+                    total: total(build),
+                    build: b,
+                    yard: m.yard.clone(),
+                    spot: m.spot,
+                });
+            }
+        }
+        for r in &l.fleet.rentals {
+            for _ in 0..r.number {
+                let total = total(&catalog.builds[r.build]);
+                coming.push(Coming {
+                    total,
+                    build: r.build,
+                    yard: r.yard.clone(),
+                    spot: r.spot,
+                });
+            }
+        }
+        let mut unmet = l.fleet.unmet.clone();
+        // Room for services to come, on ordinary machines: free now, or held by tasks that
+        // may be stopped for them.
+        if let Some((need, want)) = l.spare_slots(now, &catalog) {
+            let mut have = 0.0;
+            for m in l.books.machines.values().filter(|m| usable(m) && !m.spot) {
+                let mut room = l.books.free(m);
+                for ((uid, _), p) in &m.placements {
+                    if p.ended.is_none() && !l.books.is_standing(uid) {
+                        if let Some(j) = l.books.jobs.get(uid) {
+                            room += j.need;
+                        }
+                    }
+                }
+                have += room.times(&need) as f64;
+            }
+            let missing = want - have;
+            if missing > 0.0 {
+                unmet.push(Unmet {
+                    need,
+                    spot_ok: false,
+                    standing: true,
+                    skus: vec![true; catalog.builds.len()],
+                    yard: None,
+                    slots: missing,
+                    in_yard: vec![],
+                    zone_cap: u32::MAX,
+                });
+            }
+        }
+        let mut wanted: HashMap<(usize, String, bool), usize> = HashMap::new();
+        // Services first: they may not be able to use what the others get.
+        unmet.sort_by_key(|u| (!u.standing, u.spot_ok));
+        for u in &unmet {
+            let mut slots = u.slots;
+            let mut in_yard: HashMap<String, u32> = u.in_yard.iter().cloned().collect();
+            while slots > c::SLOT_EPSILON {
+                let open = |yard: &str| {
+                    u.yard.as_ref().is_none_or(|y| y == yard)
+                        && in_yard.get(yard).copied().unwrap_or(0) < u.zone_cap
+                };
+                let on_way = coming.iter_mut().find(|x| {
+                    (u.spot_ok || !x.spot)
+                        && u.skus[x.build]
+                        && open(&x.yard)
+                        && x.total.fits(&u.need)
+                });
+                if let Some(x) = on_way {
+                    x.total -= u.need;
+                    *in_yard.entry(x.yard.clone()).or_default() += 1;
+                    slots -= 1.0;
+                    continue;
+                }
+                // The cheapest kind for such a task; yards with fewer machines first.
+                let mut best: Option<(f64, usize, (usize, String, bool))> = None;
+                for (i, b) in catalog.builds.iter().enumerate() {
+                    if !u.skus[i] || !total(b).fits(&u.need) {
+                        continue;
+                    }
+                    let per = total(b).times(&u.need).max(1) as f64;
+                    for yard in b.yards.iter().filter(|y| open(y)) {
+                        for spot in [true, false] {
+                            if spot && !(u.spot_ok && rent_spot) {
+                                continue;
+                            }
+                            let kind = (b.sku.clone(), yard.clone(), spot);
+                            if l.fleet.no_capacity.get(&kind).is_some_and(|t| now < *t) {
+                                continue;
+                            }
+                            let price = if spot { b.low_price } else { b.rate } / per;
+                            let same = l
+                                .books
+                                .machines
+                                .values()
+                                .filter(|m| {
+                                    m.yard == *yard && m.spot == spot && m.life != Life::Gone
+                                })
+                                .count()
+                                + wanted.get(&(i, yard.clone(), spot)).copied().unwrap_or(0);
+                            let better = best.as_ref().is_none_or(|(p, n, _)| {
+                                price < *p - 1e-9 || (price < *p + 1e-9 && same < *n)
+                            });
+                            if better {
+                                best = Some((price, same, (i, yard.clone(), spot)));
+                            }
+                        }
+                    }
+                }
+                let Some((_, _, kind)) = best else { break };
+                *wanted.entry(kind.clone()).or_default() += 1;
+                let (build, yard, spot) = kind;
+                coming.push(Coming {
+                    total: total(&catalog.builds[build]),
+                    build,
+                    yard,
+                    spot,
+                });
+            }
+        }
+        let mut rentals: Vec<Rental> = Vec::new();
+        let mut kinds: Vec<_> = wanted.into_iter().collect();
+        kinds.sort();
+        for ((build, yard, spot), number) in kinds {
+            if !self.cloud.take(1.0, 1.0, now) {
+                break;
+            }
+            let hire = format!("mg-{}", l.unique());
+            rentals.push(Rental {
+                hire,
+                build,
+                yard,
+                spot,
+                number: number.min(c::RENT_MAX),
+            });
+        }
+        for r in rentals {
+            log::info!(
+                "rents {} {} in {}{}",
+                r.number,
+                catalog.builds[r.build].sku,
+                r.yard,
+                if r.spot { ", spot" } else { "" }
+            );
+            let body = Rent {
+                hire: r.hire.clone(),
+                build: catalog.builds[r.build].sku.clone(),
+                yard: r.yard.clone(),
+                lendables: r.spot,
+                number: r.number,
+            };
+            let body = serde_json::to_vec(&body).unwrap_or_default();
+            if let Some(l) = self.leader.as_mut() {
+                l.fleet.rentals.push(r.clone());
+            }
+            self.call(
+                Service::Cloud,
+                "POST",
+                "/hosts".into(),
+                body,
+                c::CLOUD_CALL_MS,
+                Purpose::Rent(r),
+            );
+        }
+    }
+
+    pub(super) fn rent_answered(&mut self, rental: Rental, reply: Option<(u16, Vec<u8>)>) {
+        let now = self.now.mono;
+        let Some(catalog) = self.catalog.clone() else {
+            return;
+        };
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        l.fleet.rentals.retain(|r| r.hire != rental.hire);
+        let Some(build) = catalog.builds.get(rental.build) else {
+            return;
+        };
+        let kind = (build.sku.clone(), rental.yard.clone(), rental.spot);
+        match reply {
+            Some((200, body)) => {
+                let Ok(names) = serde_json::from_slice::<Names>(&body) else {
+                    return;
+                };
+                if names.steads.len() < rental.number {
+                    l.fleet.no_capacity.insert(kind, now + c::CAPACITY_REST_MS);
+                }
+                for n in names.steads {
+                    let name: Name = n.as_str().into();
+                    if l.fleet.is_gone(&n) {
+                        continue;
+                    }
+                    let m = l.books.machine_entry(&name, 0, now);
+                    if m.sku.is_empty() {
+                        m.sku = build.sku.clone();
+                        m.yard = rental.yard.clone();
+                        m.spot = rental.spot;
+                        m.rented_at = now;
+                    }
+                }
+            }
+            Some((503, body)) if String::from_utf8_lossy(&body).contains("capacity") => {
+                log::info!("no capacity for {} in {}, spot {}", kind.0, kind.1, kind.2);
+                l.fleet.no_capacity.insert(kind, now + c::CAPACITY_REST_MS);
+            }
+            // Perhaps carried out, perhaps later: what comes of it shows up in the list.
+            _ => l.fleet.cloud_at = now + c::CLOUD_RETRY_MS,
+        }
+    }
+}
+
+impl Leader {
+    /// Room to keep for services: what one of their tasks takes, and how many are expected
+    /// to arrive while a machine boots.
+    fn spare_slots(&mut self, now: u64, catalog: &Catalog) -> Option<(Resources, f64)> {
+        let f = &mut self.fleet;
+        let from = f.seen_arrival;
+        for (stamp, uid) in self.books.queue.range(from + 1..) {
+            let Some(job) = self.books.jobs.get(uid) else {
+                continue;
+            };
+            if from > 0 && self.books.is_standing(uid) {
+                f.arrivals.push_back((now, job.loads));
+            }
+            f.seen_arrival = *stamp;
+        }
+        while f
+            .arrivals
+            .front()
+            .is_some_and(|(t, _)| now > t + c::ARRIVAL_WINDOW_MS)
+        {
+            f.arrivals.pop_front();
+        }
+        let need = self
+            .books
+            .jobs
+            .values()
+            .filter(|j| j.spec.as_ref().is_some_and(|s| s.shape == Shape::Standing))
+            .max_by_key(|j| (j.stamp, j.uid.clone()))?
+            .need;
+        let window =
+            (now - self.began).clamp(c::ARRIVAL_WINDOW_MS / 4, c::ARRIVAL_WINDOW_MS) as f64;
+        let tasks: u32 = self.fleet.arrivals.iter().map(|(_, n)| n).sum();
+        let ready = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max) * c::MS_PER_S;
+        Some((
+            need,
+            (f64::from(tasks) / window * ready).ceil() + c::SPARE_SERVICE_SLOTS,
+        ))
+    }
+}
+
+fn usable(m: &Machine) -> bool {
+    m.life == Life::Up && !m.draining && !m.lapsed && m.recall_at.is_none()
+}
+
+fn total(b: &Build) -> Resources {
+    Resources::new(b.cores, b.gpus, b.ram_gb)
+}
+
+fn ready_ms(catalog: &Catalog, sku: &str) -> u64 {
+    let s = catalog
+        .builds
+        .iter()
+        .find(|b| b.sku == sku)
+        .map_or(60.0, |b| b.ready_s);
+    (s * c::MS_PER_S) as u64
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,414 @@
+//! Leadership, planning, machines, workers' orders and users' requests.
+//!
+//! [`Controller`] owns all state of a controller. It takes commands in batches, in the
+//! order of their rank (workers' reports, then answers and timers, then users' requests),
+//! and gives effects. It does no I/O; the clock and the seed of its randomness are passed in.
+
+mod election;
+mod fleet;
+mod leader;
+mod peers;
+pub mod planner;
+mod status;
+mod sync;
+mod users;
+mod workers;
+
+pub use leader::Leader;
+
+use crate::bookkeeping::budget::Bucket;
+use crate::bookkeeping::replica::Replica;
+use crate::constants as c;
+use crate::protocol::cloud::Catalog;
+use crate::protocol::state::Commit;
+use crate::protocol::users::Spec;
+use crate::settings::{Operator, Platform};
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Two clocks in milliseconds: steady, and time of day.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Clock {
+    pub mono: u64,
+    pub wall: u64,
+}
+
+/// Names an inbound connection.
+pub type ConnId = u64;
+/// Names a call.
+pub type CallId = u64;
+
+/// Where a call goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Service {
+    State,
+    Cloud,
+    Peer(usize),
+}
+
+/// What comes in.
+#[derive(Debug)]
+pub enum Command {
+    /// A request from users, workers or health checks.
+    Public {
+        conn: ConnId,
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    },
+    /// A request from another controller.
+    Peer {
+        conn: ConnId,
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    },
+    /// The answer to a call; `None`: no answer, it may have been carried out or may be later.
+    Reply {
+        call: CallId,
+        reply: Option<(u16, Vec<u8>)>,
+    },
+}
+
+/// What goes out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    Respond {
+        conn: ConnId,
+        status: u16,
+        retry_after_s: Option<u64>,
+        body: Vec<u8>,
+    },
+    Call {
+        id: CallId,
+        service: Service,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    },
+}
+
+/// Who waits for the answer to a user's request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Asker {
+    conn: ConnId,
+    /// A peer that passes the answer on.
+    relayed: bool,
+    since: u64,
+}
+
+/// What a call was made for.
+#[derive(Debug)]
+enum Purpose {
+    List,
+    Watch,
+    Fresh {
+        begun: u64,
+    },
+    Hold,
+    Elect {
+        tenancy: u64,
+        term: u64,
+    },
+    Renew {
+        tenancy: u64,
+        sent: u64,
+    },
+    StepDown,
+    LeaderCommit,
+    Submit {
+        asker: Asker,
+        spec: Rc<Spec>,
+        at: u64,
+        commit: Commit,
+    },
+    Withdraw {
+        asker: Asker,
+        uid: String,
+        commit: Commit,
+    },
+    Gossip {
+        peer: usize,
+    },
+    Relay {
+        asker: Asker,
+    },
+    Catalog,
+    Hosts {
+        begun: u64,
+    },
+    Rent(fleet::Rental),
+    Delete(Vec<crate::bookkeeping::records::Name>),
+}
+
+/// Counters and latencies for the operators' view.
+pub(crate) struct Metrics {
+    submit_ms: hdrhistogram::Histogram<u64>,
+    poll_ms: hdrhistogram::Histogram<u64>,
+    report_ms: hdrhistogram::Histogram<u64>,
+    start_ms: hdrhistogram::Histogram<u64>,
+    accepted: u64,
+    refused: u64,
+    reports: u64,
+    state_calls: u64,
+    state_writes: u64,
+}
+
+impl Metrics {
+    fn new() -> Metrics {
+        let h = || hdrhistogram::Histogram::new(2).expect("two digits are in range");
+        Metrics {
+            submit_ms: h(),
+            poll_ms: h(),
+            report_ms: h(),
+            start_ms: h(),
+            accepted: 0,
+            refused: 0,
+            reports: 0,
+            state_calls: 0,
+            state_writes: 0,
+        }
+    }
+}
+
+/// A controller.
+pub struct Controller {
+    cfg: Rc<Platform>,
+    op: Rc<Operator>,
+    rng: SmallRng,
+    incarnation: u64,
+    now: Clock,
+    begun: u64,
+    out: Vec<Effect>,
+    next_call: CallId,
+    calls: HashMap<CallId, Purpose>,
+    replica: Replica,
+    sync: sync::Sync,
+    reads: Bucket,
+    writes: Bucket,
+    cloud: Bucket,
+    catalog: Option<Rc<Catalog>>,
+    catalog_at: Option<u64>,
+    catalog_asked: bool,
+    election: election::Election,
+    leader: Option<Leader>,
+    peers: Vec<peers::PeerView>,
+    /// Highest term heard of from anyone.
+    term_heard: u64,
+    /// When each worker last reported here.
+    workers_seen: HashMap<String, u64>,
+    metrics: Metrics,
+}
+
+impl Controller {
+    /// A controller that has just started.
+    pub fn new(cfg: Platform, op: Operator, clock: Clock, seed: u64) -> Controller {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let n = cfg.controllers() as f64;
+        let st = &cfg.params.state;
+        let peers = cfg
+            .peers
+            .iter()
+            .map(|_| peers::PeerView::default())
+            .collect();
+        let share = (1.0 - c::WRITE_SHARE_LEADER) / n;
+        Controller {
+            incarnation: rng.random(),
+            reads: Bucket::new(st.rps * c::STATE_RPS_SHARE / n, clock.mono),
+            writes: Bucket::new(st.write_rps * share, clock.mono),
+            cloud: Bucket::new(cfg.params.cloud.rps * c::STATE_RPS_SHARE / n, clock.mono),
+            rng,
+            now: clock,
+            begun: clock.mono,
+            out: Vec::new(),
+            next_call: 1,
+            calls: HashMap::new(),
+            replica: Replica::default(),
+            sync: sync::Sync::default(),
+            catalog: None,
+            catalog_at: None,
+            catalog_asked: false,
+            election: election::Election::default(),
+            leader: None,
+            peers,
+            term_heard: 0,
+            workers_seen: HashMap::new(),
+            metrics: Metrics::new(),
+            cfg: Rc::new(cfg),
+            op: Rc::new(op),
+        }
+    }
+
+    /// Handles a batch and everything that is due, and gives the effects. Call it with no
+    /// commands when [`Controller::next_wake`] has come.
+    pub fn batch(&mut self, clock: Clock, mut commands: Vec<Command>) -> Vec<Effect> {
+        self.now = clock;
+        commands.sort_by_key(rank_of);
+        let mut users = 0;
+        for command in commands {
+            let user = rank_of(&command) == 2;
+            if user {
+                users += 1;
+            }
+            if user && users > c::BATCH_USER_MAX {
+                self.shed(command);
+            } else {
+                self.command(command);
+            }
+        }
+        self.due();
+        std::mem::take(&mut self.out)
+    }
+
+    /// When the next batch is due at the latest.
+    pub fn next_wake(&self) -> u64 {
+        let soon = if self.leader.as_ref().is_some_and(|l| l.hurry()) {
+            10
+        } else {
+            c::POLL_MAX_MS
+        };
+        self.now.mono + soon
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Public {
+                conn,
+                method,
+                path,
+                body,
+            } => self.public(conn, &method, &path, body),
+            Command::Peer {
+                conn,
+                method,
+                path,
+                body,
+            } => self.peer_request(conn, &method, &path, &body),
+            Command::Reply { call, reply } => self.reply(call, reply),
+        }
+    }
+
+    fn public(&mut self, conn: ConnId, method: &str, path: &str, body: Vec<u8>) {
+        let path = path.split('?').next().unwrap_or("");
+        let asker = Asker {
+            conn,
+            relayed: false,
+            since: self.now.mono,
+        };
+        match (method, path) {
+            ("POST", "/checkin") => self.checkin(conn, &body),
+            ("GET", "/up") => self.up(conn),
+            ("GET", "/v1/status") => self.status(conn),
+            (_, "/checkin" | "/up" | "/v1/status") => self.refuse(asker, 405, "wrong method", None),
+            _ => self.user_request(asker, method, path, &body),
+        }
+    }
+
+    fn shed(&mut self, command: Command) {
+        if let Command::Public { conn, .. } = command {
+            let asker = Asker {
+                conn,
+                relayed: false,
+                since: self.now.mono,
+            };
+            self.refuse(asker, 503, "too much to do", Some(c::RETRY_AFTER_BUSY_S));
+        }
+    }
+
+    fn reply(&mut self, call: CallId, reply: Option<(u16, Vec<u8>)>) {
+        let Some(purpose) = self.calls.remove(&call) else {
+            return;
+        };
+        if self.is_state(&purpose) {
+            self.state_answered(&purpose, reply.as_ref().map(|r| r.0));
+        }
+        match purpose {
+            Purpose::List => self.listed(reply),
+            Purpose::Watch => self.watched(reply),
+            Purpose::Fresh { begun } => self.fresh_read(begun, reply),
+            Purpose::Hold => self.hold_given(reply),
+            Purpose::Elect { tenancy, term } => self.elected(tenancy, term, reply),
+            Purpose::Renew { tenancy, sent } => self.renewed(tenancy, sent, reply),
+            Purpose::StepDown => {}
+            Purpose::LeaderCommit => self.leader_committed(reply),
+            Purpose::Submit {
+                asker,
+                spec,
+                at,
+                commit,
+            } => self.submitted(asker, spec, at, commit, reply),
+            Purpose::Withdraw { asker, uid, commit } => self.withdrawn(asker, uid, commit, reply),
+            Purpose::Gossip { peer } => self.gossip_answered(peer, reply),
+            Purpose::Relay { asker } => self.relay_answered(asker, reply),
+            Purpose::Catalog => self.catalog_answered(reply),
+            Purpose::Hosts { begun } => self.hosts_answered(begun, reply),
+            Purpose::Rent(rental) => self.rent_answered(rental, reply),
+            Purpose::Delete(names) => self.delete_answered(names, reply),
+        }
+    }
+
+    fn due(&mut self) {
+        self.sync_due();
+        self.catalog_due();
+        self.gossip_due();
+        self.election_due();
+        self.leader_due();
+    }
+
+    fn call(
+        &mut self,
+        service: Service,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+        purpose: Purpose,
+    ) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, purpose);
+        self.out.push(Effect::Call {
+            id,
+            service,
+            method,
+            path,
+            body,
+            timeout_ms,
+        });
+    }
+
+    fn respond(&mut self, conn: ConnId, status: u16, retry_after_s: Option<u64>, body: Vec<u8>) {
+        self.out.push(Effect::Respond {
+            conn,
+            status,
+            retry_after_s,
+            body,
+        });
+    }
+
+    /// The term this controller leads in.
+    pub fn leads(&self) -> Option<u64> {
+        self.leader.as_ref().map(|l| l.term)
+    }
+
+    /// The leader's books, for tests and the operators' view.
+    pub fn leader(&self) -> Option<&Leader> {
+        self.leader.as_ref()
+    }
+
+    /// The copy of the store.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+}
+
+/// Ranks of work: workers' reports, then decisions, then users' requests.
+fn rank_of(c: &Command) -> u8 {
+    match c {
+        Command::Public { path, .. } if path == "/checkin" || path == "/up" => 0,
+        Command::Reply { .. } | Command::Peer { .. } => 1,
+        Command::Public { .. } => 2,
+    }
+}
--- /dev/null
+++ b/src/coordination/peers.rs
@@ -0,0 +1,181 @@
+//! What controllers tell each other, and requests answered for one another.
+
+use super::users::served_gossip;
+use super::*;
+use crate::protocol::peers::{decode, encode, Gossip, Relay, Relayed};
+
+/// What is known of a peer.
+#[derive(Debug, Default)]
+pub(crate) struct PeerView {
+    pub gossip: Option<Gossip>,
+    pub heard_at: u64,
+    calling: bool,
+    next_at: u64,
+}
+
+/// Seconds' worth of reports that count as seen now, in report periods.
+const SEEN_PERIODS: f64 = 2.0;
+
+impl Controller {
+    fn gossip(&self) -> Gossip {
+        let seen_ms = (self.cfg.params.workers.report_s * c::MS_PER_S * SEEN_PERIODS) as u64;
+        let now = self.now.mono;
+        Gossip {
+            version: c::PEER_VERSION,
+            label: self.cfg.label.clone(),
+            incarnation: self.incarnation,
+            term: self.term_heard,
+            leads: self.leader.is_some(),
+            max_rev: self.sync.max_rev,
+            age_ms: now - self.begun,
+            served_ago_ms: if self.sync.refused || !self.sync.loaded {
+                None
+            } else {
+                self.sync.served_at.map(|t| now - t)
+            },
+            workers_seen: self
+                .workers_seen
+                .values()
+                .filter(|t| now - **t <= seen_ms)
+                .count() as u32,
+        }
+    }
+
+    pub(super) fn gossip_due(&mut self) {
+        let now = self.now.mono;
+        for i in 0..self.peers.len() {
+            if self.peers[i].calling || now < self.peers[i].next_at {
+                continue;
+            }
+            self.peers[i].calling = true;
+            self.peers[i].next_at = now + c::GOSSIP_MS;
+            let body = encode(&self.gossip());
+            let purpose = Purpose::Gossip { peer: i };
+            self.call(
+                Service::Peer(i),
+                "POST",
+                "/gossip".into(),
+                body,
+                c::GOSSIP_CALL_MS,
+                purpose,
+            );
+        }
+    }
+
+    pub(super) fn gossip_answered(&mut self, peer: usize, reply: Option<(u16, Vec<u8>)>) {
+        self.peers[peer].calling = false;
+        if let Some((200, body)) = reply {
+            self.hear(&body);
+        }
+    }
+
+    fn hear(&mut self, body: &[u8]) -> bool {
+        let g: Gossip = match decode(body) {
+            Ok(g) => g,
+            Err(e) => {
+                log::info!("message of a peer can't be read: {e}");
+                return false;
+            }
+        };
+        if g.version != c::PEER_VERSION {
+            log::info!("message of {} has version {}", g.label, g.version);
+            return false;
+        }
+        let Some(i) = self.cfg.peers.iter().position(|p| p.label == g.label) else {
+            return false;
+        };
+        if g.term > self.term_heard {
+            self.term_heard = g.term;
+        }
+        self.peers[i].heard_at = self.now.mono;
+        self.peers[i].gossip = Some(g);
+        self.check_term();
+        true
+    }
+
+    pub(super) fn peer_request(&mut self, conn: ConnId, method: &str, path: &str, body: &[u8]) {
+        match (method, path) {
+            ("POST", "/gossip") => {
+                if self.hear(body) {
+                    let body = encode(&self.gossip());
+                    self.respond(conn, 200, None, body);
+                } else {
+                    self.respond(conn, 400, None, vec![]);
+                }
+            }
+            ("POST", "/relay") => match decode::<Relay>(body) {
+                Ok(r) if r.version == c::PEER_VERSION => {
+                    let asker = Asker {
+                        conn,
+                        relayed: true,
+                        since: self.now.mono,
+                    };
+                    self.user_request(asker, &r.method, &r.path, &r.body);
+                }
+                _ => self.respond(conn, 400, None, vec![]),
+            },
+            _ => self.respond(conn, 404, None, vec![]),
+        }
+    }
+
+    /// What peers said lately.
+    pub(super) fn fresh_gossip(&self) -> impl Iterator<Item = &Gossip> {
+        let now = self.now.mono;
+        self.peers
+            .iter()
+            .filter(move |p| now - p.heard_at <= c::GOSSIP_FRESH_MS)
+            .filter_map(|p| p.gossip.as_ref())
+    }
+
+    /// A peer that the state service serves.
+    pub(super) fn best_peer(&self) -> Option<usize> {
+        let now = self.now.mono;
+        (0..self.peers.len())
+            .filter(|i| {
+                let p = &self.peers[*i];
+                now - p.heard_at <= c::GOSSIP_FRESH_MS
+                    && p.gossip.as_ref().is_some_and(served_gossip)
+            })
+            .min_by_key(|i| self.peers[*i].gossip.as_ref().and_then(|g| g.served_ago_ms))
+    }
+
+    /// We can't answer: a served peer does it for us, or the user comes back later.
+    pub(super) fn relay_or_refuse(
+        &mut self,
+        asker: Asker,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+    ) {
+        let peer = if asker.relayed {
+            None
+        } else {
+            self.best_peer()
+        };
+        let Some(peer) = peer else {
+            return self.unavailable(asker);
+        };
+        let m = Relay {
+            version: c::PEER_VERSION,
+            method: method.into(),
+            path,
+            body,
+        };
+        let purpose = Purpose::Relay { asker };
+        self.call(
+            Service::Peer(peer),
+            "POST",
+            "/relay".into(),
+            encode(&m),
+            c::RELAY_CALL_MS,
+            purpose,
+        );
+    }
+
+    pub(super) fn relay_answered(&mut self, asker: Asker, reply: Option<(u16, Vec<u8>)>) {
+        match reply.and_then(|(s, b)| (s == 200).then(|| decode::<Relayed>(&b).ok()).flatten()) {
+            Some(m) if m.version == c::PEER_VERSION => self.pass_on(asker, m),
+            _ => self.unavailable(asker),
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/status.rs
@@ -0,0 +1,99 @@
+//! The operators' view.
+
+use super::*;
+use crate::bookkeeping::books::Life;
+use crate::bookkeeping::records::Stage;
+use serde_json::{json, Value};
+
+/// Waiting jobs listed in full.
+const WAITING_SHOWN: usize = 50;
+
+fn spread(h: &hdrhistogram::Histogram<u64>) -> Value {
+    json!({
+        "count": h.len(),
+        "p50": h.value_at_quantile(0.5),
+        "p95": h.value_at_quantile(0.95),
+        "p99": h.value_at_quantile(0.99),
+        "max": h.max(),
+    })
+}
+
+impl Controller {
+    pub(super) fn status(&mut self, conn: ConnId) {
+        let body = serde_json::to_vec(&self.status_json()).unwrap_or_default();
+        self.respond(conn, 200, None, body);
+    }
+
+    /// Leader, term, machines, waiting jobs with reasons, latencies in milliseconds.
+    pub fn status_json(&self) -> Value {
+        let now = self.now.mono;
+        let count = |s| {
+            self.replica
+                .jobs
+                .values()
+                .filter(|j| j.value.stage == s)
+                .count()
+        };
+        let mut v = json!({
+            "controller": self.cfg.label,
+            "version": env!("CARGO_PKG_VERSION"),
+            "up_s": (now - self.begun) / 1000,
+            "served_by_state_service": self.served(),
+            "leader": self.replica.leader.as_ref().map(|l| l.value.label.clone()),
+            "term": self.replica.term(),
+            "revision": self.replica.rev,
+            "jobs": {"live": count(Stage::Live), "done": count(Stage::Done),
+                     "withdrawn": count(Stage::Withdrawn)},
+            "latency_ms": {
+                "submit": spread(&self.metrics.submit_ms),
+                "poll": spread(&self.metrics.poll_ms),
+                "report": spread(&self.metrics.report_ms),
+                "placed_to_running": spread(&self.metrics.start_ms),
+            },
+            "counts": {"accepted": self.metrics.accepted, "refused": self.metrics.refused,
+                       "reports": self.metrics.reports, "state_calls": self.metrics.state_calls,
+                       "state_writes": self.metrics.state_writes},
+        });
+        if let Some(l) = self.leader.as_ref().filter(|l| l.ready) {
+            let machines: Vec<Value> = l
+                .books
+                .machines
+                .values()
+                .map(|m| {
+                    let state = match m.life {
+                        Life::Booting => "booting",
+                        Life::Deleting => "deleting",
+                        Life::Gone => "gone",
+                        Life::Up if m.lapsed => "silent",
+                        Life::Up if m.recall_at.is_some() => "recalled",
+                        Life::Up if m.draining => "set aside",
+                        Life::Up => "up",
+                    };
+                    json!({"name": &*m.name, "build": m.sku, "yard": m.yard, "spot": m.spot,
+                           "state": state, "tasks": m.placements.len()})
+                })
+                .collect();
+            let waiting: Vec<Value> = l
+                .books
+                .queue
+                .values()
+                .filter_map(|u| l.books.jobs.get(u))
+                .filter(|j| j.waiting() > 0)
+                .take(WAITING_SHOWN)
+                .map(|j| {
+                    let reserved = l.reservation.as_ref().filter(|(u, _)| *u == j.uid);
+                    let why = match reserved {
+                        Some((_, m)) => format!("reserved on {m}"),
+                        None if j.paused_until > now => "failed on several machines, paused".into(),
+                        None => "no room that allows it, or its team is at its limit".into(),
+                    };
+                    json!({"uid": &*j.uid, "waiting": j.waiting(), "done": j.done_count,
+                           "tasks": j.loads, "why": why})
+                })
+                .collect();
+            v["machines"] = Value::Array(machines);
+            v["waiting"] = Value::Array(waiting);
+        }
+        v
+    }
+}
--- /dev/null
+++ b/src/coordination/sync.rs
@@ -0,0 +1,314 @@
+//! Following the state service: the first load, the watch, and zero-wait reads.
+
+use super::*;
+use crate::bookkeeping::records::Name;
+use crate::protocol::state::{changes_path, list_path, Changes, Page};
+
+/// What waits for a read begun after it came.
+#[derive(Debug)]
+pub(crate) enum Waiter {
+    Poll {
+        asker: Asker,
+        uid: String,
+    },
+    Withdraw {
+        asker: Asker,
+        uid: String,
+    },
+    /// The answer if the job turns out to be unknown: status, reason.
+    Submit {
+        asker: Asker,
+        uid: String,
+        verdict: Option<(u16, String)>,
+        spec: Option<Rc<Spec>>,
+    },
+    /// The leader's takeover or an unclear commit.
+    Leader,
+}
+
+/// How far this controller is with the store.
+#[derive(Debug, Default)]
+pub(crate) struct Sync {
+    pub loaded: bool,
+    listing: bool,
+    /// First revision of the listing and the key it has come to.
+    list_rev: Option<u64>,
+    list_since: Option<String>,
+    watching: bool,
+    fresh_running: Option<Vec<Waiter>>,
+    fresh_waiting: Vec<Waiter>,
+    fresh_begun: u64,
+    not_before: u64,
+    /// Begin of the last request that the state service answered.
+    pub served_at: Option<u64>,
+    /// The state service refused or did not answer the last request.
+    pub refused: bool,
+    /// Begin of the last read that brought the replica up to date.
+    pub fresh_at: Option<u64>,
+    /// Highest revision in any answer.
+    pub max_rev: u64,
+}
+
+impl Controller {
+    pub(super) fn is_state(&self, p: &Purpose) -> bool {
+        !matches!(
+            p,
+            Purpose::Gossip { .. }
+                | Purpose::Relay { .. }
+                | Purpose::Catalog
+                | Purpose::Hosts { .. }
+                | Purpose::Rent(_)
+                | Purpose::Delete(_)
+        )
+    }
+
+    pub(super) fn state_answered(&mut self, purpose: &Purpose, status: Option<u16>) {
+        match status {
+            Some(503) | None if matches!(purpose, Purpose::Watch) => {}
+            Some(429) => {
+                log::debug!("state service: too many requests");
+                if matches!(
+                    purpose,
+                    Purpose::LeaderCommit | Purpose::Submit { .. } | Purpose::Withdraw { .. }
+                ) {
+                    self.writes.drain(self.now.mono);
+                } else {
+                    self.reads.drain(self.now.mono);
+                }
+            }
+            Some(503) | None => {
+                if !self.sync.refused {
+                    log::info!("state service does not serve us");
+                }
+                self.sync.refused = true;
+            }
+            Some(_) => {
+                if self.sync.refused {
+                    log::info!("state service serves us");
+                }
+                self.sync.refused = false;
+                self.sync.served_at = Some(self.now.mono);
+            }
+        }
+    }
+
+    /// Whether the state service serves us, as far as we know.
+    pub(super) fn served(&self) -> bool {
+        self.sync.loaded
+            && !self.sync.refused
+            && self
+                .sync
+                .served_at
+                .is_some_and(|t| self.now.mono - t < c::STATE_LOST_MS)
+    }
+
+    pub(super) fn state_call(
+        &mut self,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+        purpose: Purpose,
+    ) {
+        self.metrics.state_calls += 1;
+        self.reads.take(1.0, f64::MIN, self.now.mono);
+        self.call(Service::State, method, path, body, timeout_ms, purpose);
+    }
+
+    pub(super) fn sync_due(&mut self) {
+        let now = self.now.mono;
+        if now < self.sync.not_before {
+            return;
+        }
+        if !self.sync.loaded {
+            if !self.sync.listing {
+                self.sync.listing = true;
+                let path = list_path(
+                    c::KEY_ROOT,
+                    self.sync.list_since.as_deref(),
+                    c::STATE_LIST_LIMIT,
+                );
+                self.state_call("GET", path, vec![], c::STATE_LIST_MS, Purpose::List);
+            }
+            return;
+        }
+        if !self.sync.watching && !self.sync.refused {
+            self.sync.watching = true;
+            let path = changes_path(c::KEY_ROOT, self.replica.rev, c::WATCH_BLOCK_MS);
+            self.state_call("GET", path, vec![], c::WATCH_CALL_MS, Purpose::Watch);
+        }
+        let pulse = now >= self.sync.fresh_begun + c::PULSE_MS;
+        let wanted =
+            !self.sync.fresh_waiting.is_empty() && now >= self.sync.fresh_begun + c::FRESH_GAP_MS;
+        if self.sync.fresh_running.is_none() && (pulse || wanted) {
+            if !self.reads.take(0.0, 1.0, now) && !pulse {
+                return;
+            }
+            self.sync.fresh_running = Some(std::mem::take(&mut self.sync.fresh_waiting));
+            self.sync.fresh_begun = now;
+            let path = changes_path(c::KEY_ROOT, self.replica.rev, 0);
+            self.state_call(
+                "GET",
+                path,
+                vec![],
+                c::STATE_CALL_MS,
+                Purpose::Fresh { begun: now },
+            );
+        }
+    }
+
+    pub(super) fn want_fresh(&mut self, w: Waiter) {
+        self.sync.fresh_waiting.push(w);
+        self.sync_due();
+    }
+
+    pub(super) fn waiters(&self) -> usize {
+        self.sync.fresh_waiting.len() + self.sync.fresh_running.as_ref().map_or(0, |r| r.len())
+    }
+
+    fn retry_later(&mut self) {
+        self.sync.not_before = self.now.mono + c::STATE_RETRY_MS;
+    }
+
+    pub(super) fn listed(&mut self, reply: Option<(u16, Vec<u8>)>) {
+        self.sync.listing = false;
+        let page: Option<Page> = match &reply {
+            Some((200, body)) => serde_json::from_slice(body).ok(),
+            _ => None,
+        };
+        let Some(page) = page else {
+            return self.retry_later();
+        };
+        if self.sync.list_rev.is_none() {
+            self.sync.list_rev = Some(page.ledger_rev);
+        }
+        for item in &page.items {
+            self.replica.apply_item(item);
+        }
+        if page.has_next {
+            self.sync.list_since = page.items.last().map(|i| i.key.clone());
+            return self.sync_due();
+        }
+        // Pages are of different moments: changes since the first one follow by reads.
+        self.replica.rev = self.sync.list_rev.take().unwrap_or(page.ledger_rev);
+        self.sync.max_rev = self.sync.max_rev.max(page.ledger_rev);
+        self.sync.list_since = None;
+        self.sync.loaded = true;
+        if let Some(t) = self.replica.term.as_ref().map(|t| t.value.term) {
+            self.term_heard = self.term_heard.max(t);
+        }
+        if self.catalog.is_none() {
+            self.catalog = self
+                .replica
+                .catalog
+                .as_ref()
+                .map(|c| Rc::new(c.value.clone()));
+        }
+        log::info!(
+            "loaded: {} jobs at revision {}",
+            self.replica.jobs.len(),
+            self.replica.rev
+        );
+        self.sync_due();
+    }
+
+    /// Puts an answer into the replica; false if it has to be read anew.
+    fn apply(&mut self, reply: &Option<(u16, Vec<u8>)>) -> Option<bool> {
+        match reply {
+            Some((200, body)) => {
+                let changes: Changes = serde_json::from_slice(body).ok()?;
+                self.sync.max_rev = self.sync.max_rev.max(changes.ledger_rev);
+                let touched = self.replica.apply(&changes);
+                self.jobs_touched(&touched);
+                self.term_heard = self.term_heard.max(self.replica.term());
+                Some(true)
+            }
+            Some((410, _)) => {
+                log::info!("too far behind, reading the store anew");
+                self.replica = Replica::default();
+                self.sync.loaded = false;
+                self.step_down("lost track of the store");
+                Some(false)
+            }
+            _ => None,
+        }
+    }
+
+    fn jobs_touched(&mut self, touched: &[Name]) {
+        if let Some(l) = self.leader.as_mut().filter(|l| l.ready) {
+            for uid in touched {
+                l.books.job_changed(&self.replica, uid, self.now.mono);
+            }
+            if !touched.is_empty() {
+                l.plan_soon(self.now.mono);
+            }
+        }
+    }
+
+    pub(super) fn watched(&mut self, reply: Option<(u16, Vec<u8>)>) {
+        self.sync.watching = false;
+        if self.apply(&reply).is_none() {
+            self.retry_later();
+        }
+    }
+
+    pub(super) fn fresh_read(&mut self, begun: u64, reply: Option<(u16, Vec<u8>)>) {
+        let waiters = self.sync.fresh_running.take().unwrap_or_default();
+        match self.apply(&reply) {
+            Some(true) => {
+                self.sync.fresh_at = Some(begun);
+                for w in waiters {
+                    self.fresh_done(w);
+                }
+            }
+            outcome => {
+                if outcome.is_none() && !matches!(reply, Some((429, _))) {
+                    self.retry_later();
+                }
+                for w in waiters {
+                    self.fresh_failed(w);
+                }
+            }
+        }
+        self.sync_due();
+    }
+
+    fn fresh_done(&mut self, w: Waiter) {
+        match w {
+            Waiter::Poll { asker, uid } => self.answer_poll(asker, &uid),
+            Waiter::Withdraw { asker, uid } => self.withdraw_known(asker, uid),
+            Waiter::Submit {
+                asker,
+                uid,
+                verdict,
+                spec,
+            } => self.submit_known(asker, uid, verdict, spec),
+            Waiter::Leader => self.leader_fresh(),
+        }
+    }
+
+    fn fresh_failed(&mut self, w: Waiter) {
+        match w {
+            Waiter::Poll { asker, uid } => {
+                self.relay_or_refuse(asker, "GET", format!("/v1/jobs/{uid}"), vec![])
+            }
+            Waiter::Withdraw { asker, uid } => {
+                self.relay_or_refuse(asker, "POST", format!("/v1/jobs/{uid}/withdraw"), vec![])
+            }
+            Waiter::Submit { asker, spec, .. } => match spec {
+                Some(spec) => {
+                    let body = serde_json::to_vec(&*spec).unwrap_or_default();
+                    self.relay_or_refuse(asker, "POST", "/v1/jobs".into(), body)
+                }
+                None => self.unavailable(asker),
+            },
+            Waiter::Leader => self.leader_wants_fresh(),
+        }
+    }
+
+    pub(super) fn leader_wants_fresh(&mut self) {
+        if self.leader.is_some() {
+            self.sync.fresh_waiting.push(Waiter::Leader);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/users.rs
@@ -0,0 +1,470 @@
+//! Users' requests: submissions, polls, withdrawals, and whether we take any.
+//!
+//! Every answer that a job is accepted, cancelled or done rests on a commit or on a read
+//! that began after the request came; only final states come from memory.
+
+use super::sync::Waiter;
+use super::*;
+use crate::bookkeeping::records::*;
+use crate::bookkeeping::replica::Stamped;
+use crate::protocol::peers::{encode, Relayed};
+use crate::protocol::state::{raw, Committed, If, Write};
+use crate::protocol::users::*;
+use crate::protocol::Resources;
+
+impl Controller {
+    fn answer(&mut self, asker: Asker, status: u16, retry_after_s: Option<u64>, body: Vec<u8>) {
+        if asker.relayed {
+            let m = Relayed {
+                version: c::PEER_VERSION,
+                status,
+                retry_after_s,
+                body,
+            };
+            self.respond(asker.conn, 200, None, encode(&m));
+        } else {
+            self.respond(asker.conn, status, retry_after_s, body);
+        }
+    }
+
+    pub(super) fn pass_on(&mut self, asker: Asker, m: Relayed) {
+        self.answer(asker, m.status, m.retry_after_s, m.body);
+    }
+
+    fn answer_json<T: serde::Serialize>(&mut self, asker: Asker, status: u16, value: &T) {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        self.answer(asker, status, None, body);
+    }
+
+    pub(super) fn refuse(&mut self, asker: Asker, status: u16, error: &str, retry: Option<u64>) {
+        if status >= 429 {
+            self.metrics.refused += 1;
+        }
+        let body = serde_json::to_vec(&Refusal { error }).unwrap_or_default();
+        self.answer(asker, status, retry, body);
+    }
+
+    pub(super) fn unavailable(&mut self, asker: Asker) {
+        self.refuse(
+            asker,
+            503,
+            "the state service can't be reached",
+            Some(c::RETRY_AFTER_S),
+        );
+    }
+
+    pub(super) fn user_request(&mut self, asker: Asker, method: &str, path: &str, body: &[u8]) {
+        let Some(rest) = path.strip_prefix("/v1/jobs") else {
+            return self.refuse(asker, 404, "no such path", None);
+        };
+        let known = match (method, rest) {
+            ("POST", "") => return self.submit(asker, body),
+            (_, "") => false,
+            (_, rest) => {
+                let Some(rest) = rest.strip_prefix('/') else {
+                    return self.refuse(asker, 404, "no such path", None);
+                };
+                match (method, rest.strip_suffix("/withdraw")) {
+                    ("POST", Some(uid)) => return self.withdraw(asker, uid),
+                    (_, Some(_)) => false,
+                    ("GET", None) if !rest.contains('/') => return self.poll_job(asker, rest),
+                    (_, None) if !rest.contains('/') => false,
+                    _ => true,
+                }
+            }
+        };
+        if known {
+            self.refuse(asker, 404, "no such path", None);
+        } else {
+            self.refuse(asker, 405, "wrong method", None);
+        }
+    }
+
+    /// Whether a request that needs the store can be taken; answers it otherwise.
+    fn admit(&mut self, asker: Asker, method: &'static str, path: &str, body: &[u8]) -> bool {
+        if self.waiters() >= c::USER_WAIT_MAX {
+            self.refuse(asker, 503, "too much to do", Some(c::RETRY_AFTER_BUSY_S));
+            return false;
+        }
+        if !self.sync.loaded || self.sync.refused {
+            self.relay_or_refuse(asker, method, path.to_string(), body.to_vec());
+            return false;
+        }
+        true
+    }
+
+    fn submit(&mut self, asker: Asker, body: &[u8]) {
+        let (uid, value) = match submitted_uid(body) {
+            Ok(v) => v,
+            Err(e) => return self.refuse(asker, 400, &e, None),
+        };
+        if !self.admit(asker, "POST", "/v1/jobs", body) {
+            return;
+        }
+        if let Some(job) = self.replica.jobs.get(uid.as_str()) {
+            if job.value.stage != Stage::Live {
+                return self.answer_known(asker, &uid);
+            }
+            return self.want_fresh(Waiter::Submit {
+                asker,
+                uid,
+                verdict: None,
+                spec: None,
+            });
+        }
+        let verdict = match parse_submission(value) {
+            Err(e) => Err((400, e)),
+            Ok(spec) => self.judge(&spec).map(|()| Rc::new(spec)),
+        };
+        match verdict {
+            Ok(spec) => self.commit_job(asker, spec),
+            Err(verdict) => {
+                // It may have been accepted elsewhere a moment ago, with another body.
+                self.want_fresh(Waiter::Submit {
+                    asker,
+                    uid,
+                    verdict: Some(verdict),
+                    spec: None,
+                })
+            }
+        }
+    }
+
+    /// Whether the job can ever run: 422 with the reason if not, 503 if we can't tell.
+    fn judge(&self, spec: &Spec) -> Result<(), (u16, String)> {
+        let Some(team) = self.cfg.params.teams.iter().find(|t| t.name == spec.crew) else {
+            return Err((422, format!("unknown team {}", spec.crew)));
+        };
+        let Some(catalog) = &self.catalog else {
+            return Err((503, "machine types are not known yet".into()));
+        };
+        let need = spec.need();
+        let fits = catalog.builds.iter().any(|b| {
+            spec.builds
+                .as_ref()
+                .is_none_or(|list| list.contains(&b.sku))
+                && spec.yard.as_ref().is_none_or(|y| b.yards.contains(y))
+                && Resources::new(b.cores, b.gpus, b.ram_gb).fits(&need)
+        });
+        if !fits {
+            return Err((422, "a task fits no allowed machine type".into()));
+        }
+        let n = if spec.shape == Shape::Standing {
+            i64::from(spec.loads)
+        } else {
+            1
+        };
+        let all = need * n;
+        let limit = Resources::new(team.cpus_max, team.gpus_max, 0.0);
+        if (limit.cpu > 0 && all.cpu > limit.cpu) || (limit.gpu > 0 && all.gpu > limit.gpu) {
+            return Err((422, "more than the team's limit".into()));
+        }
+        Ok(())
+    }
+
+    fn commit_job(&mut self, asker: Asker, spec: Rc<Spec>) {
+        let rec = JobRec {
+            at: self.now.wall,
+            stage: Stage::Live,
+            loads: spec.loads,
+            spec: Some(spec.clone()),
+        };
+        let key = job_key(&spec.uid);
+        let data = raw(&rec);
+        if data.get().len() as f64 > self.cfg.params.state.value_kb * 1024.0 {
+            return self.refuse(asker, 422, "the submission is too large to be kept", None);
+        }
+        if !self.writes.take(1.0, 0.0, self.now.mono) {
+            return self.refuse(
+                asker,
+                503,
+                "too many submissions",
+                Some(c::RETRY_AFTER_BUSY_S),
+            );
+        }
+        let commit = Commit {
+            conditions: vec![If {
+                key: key.clone(),
+                stamp: 0,
+            }],
+            writes: vec![Write::Put {
+                write: key,
+                data,
+                tenancy: None,
+            }],
+        };
+        let body = serde_json::to_vec(&commit).unwrap_or_default();
+        let purpose = Purpose::Submit {
+            asker,
+            spec,
+            at: self.now.mono,
+            commit,
+        };
+        self.metrics.state_writes += 1;
+        self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
+    }
+
+    pub(super) fn submitted(
+        &mut self,
+        asker: Asker,
+        spec: Rc<Spec>,
+        at: u64,
+        commit: Commit,
+        reply: Option<(u16, Vec<u8>)>,
+    ) {
+        match reply {
+            Some((200, body)) => {
+                let Ok(done) = serde_json::from_slice::<Committed>(&body) else {
+                    return self.unavailable(asker);
+                };
+                self.own_commit(&commit, done.ledger_rev);
+                self.metrics.accepted += 1;
+                let _ = self.metrics.submit_ms.record(self.now.mono - at);
+                log::debug!(
+                    "{}: accepted, {} tasks of {}",
+                    spec.uid,
+                    spec.loads,
+                    spec.duty
+                );
+                self.answer_json(
+                    asker,
+                    201,
+                    &Accepted {
+                        uid: &spec.uid,
+                        status: Status::Queued,
+                    },
+                );
+            }
+            Some((409, _)) => {
+                let uid = spec.uid.clone();
+                self.want_fresh(Waiter::Submit {
+                    asker,
+                    uid,
+                    verdict: None,
+                    spec: Some(spec),
+                });
+            }
+            Some((429, _)) => {
+                self.refuse(asker, 503, "too many submissions", Some(c::RETRY_AFTER_S))
+            }
+            _ => {
+                let body = serde_json::to_vec(&*spec).unwrap_or_default();
+                self.relay_or_refuse(asker, "POST", "/v1/jobs".into(), body);
+            }
+        }
+    }
+
+    /// Puts an own commit into the replica ahead of the watch.
+    pub(super) fn own_commit(&mut self, commit: &Commit, rev: u64) {
+        self.sync.max_rev = self.sync.max_rev.max(rev);
+        let mut touched = Vec::new();
+        for w in &commit.writes {
+            match w {
+                Write::Put { write, data, .. } => {
+                    touched.extend(self.replica.write(write, data, rev))
+                }
+                Write::Remove { remove } => self.replica.remove(remove, rev),
+            }
+        }
+        if let Some(l) = self.leader.as_mut().filter(|l| l.ready) {
+            for uid in &touched {
+                l.books.job_changed(&self.replica, uid, self.now.mono);
+            }
+            if !touched.is_empty() {
+                l.plan_soon(self.now.mono);
+            }
+        }
+    }
+
+    /// A submission after a fresh read: known, or judged.
+    pub(super) fn submit_known(
+        &mut self,
+        asker: Asker,
+        uid: String,
+        verdict: Option<(u16, String)>,
+        spec: Option<Rc<Spec>>,
+    ) {
+        if self.replica.jobs.contains_key(uid.as_str()) {
+            return self.answer_known(asker, &uid);
+        }
+        match (verdict, spec) {
+            (Some((status, reason)), _) => {
+                let retry = (status == 503).then_some(c::RETRY_AFTER_S);
+                self.refuse(asker, status, &reason, retry)
+            }
+            (None, Some(spec)) => self.commit_job(asker, spec),
+            (None, None) => self.unavailable(asker),
+        }
+    }
+
+    fn status_of(&self, uid: &str, job: &Stamped<JobRec>) -> Status {
+        match job.value.stage {
+            Stage::Done => Status::Done,
+            Stage::Withdrawn => Status::Withdrawn,
+            Stage::Live if self.replica.placed(uid) > 0 => Status::Running,
+            Stage::Live => Status::Queued,
+        }
+    }
+
+    fn answer_known(&mut self, asker: Asker, uid: &str) {
+        if let Some(job) = self.replica.jobs.get(uid) {
+            let status = self.status_of(uid, job);
+            self.answer_json(asker, 200, &Accepted { uid, status });
+        }
+    }
+
+    fn poll_job(&mut self, asker: Asker, uid: &str) {
+        if !valid_uid(uid) {
+            return self.refuse(asker, 404, "no such job", None);
+        }
+        if self
+            .replica
+            .jobs
+            .get(uid)
+            .is_some_and(|j| j.value.stage != Stage::Live)
+        {
+            return self.answer_poll(asker, uid);
+        }
+        if self.admit(asker, "GET", &format!("/v1/jobs/{uid}"), &[]) {
+            self.want_fresh(Waiter::Poll {
+                asker,
+                uid: uid.to_string(),
+            });
+        }
+    }
+
+    /// Answers a poll from the replica, which is fresh enough by now.
+    pub(super) fn answer_poll(&mut self, asker: Asker, uid: &str) {
+        let _ = self.metrics.poll_ms.record(self.now.mono - asker.since);
+        let Some(job) = self.replica.jobs.get(uid) else {
+            return self.refuse(asker, 404, "no such job", None);
+        };
+        let status = self.status_of(uid, job);
+        let (done, running) = match status {
+            Status::Done => (job.value.loads, 0),
+            Status::Withdrawn => (self.replica.done_bitmap(uid).count(), 0),
+            _ => (
+                self.replica.done_bitmap(uid).count(),
+                self.replica.placed(uid),
+            ),
+        };
+        self.answer_json(
+            asker,
+            200,
+            &View {
+                uid,
+                status,
+                done,
+                running,
+            },
+        );
+    }
+
+    fn withdraw(&mut self, asker: Asker, uid: &str) {
+        if !valid_uid(uid) {
+            return self.refuse(asker, 404, "no such job", None);
+        }
+        if !self.admit(asker, "POST", &format!("/v1/jobs/{uid}/withdraw"), &[]) {
+            return;
+        }
+        match self.replica.jobs.get(uid).map(|j| j.value.stage) {
+            Some(Stage::Live) => self.commit_withdrawal(asker, uid),
+            Some(_) => self.answer_known(asker, uid),
+            None => self.want_fresh(Waiter::Withdraw {
+                asker,
+                uid: uid.to_string(),
+            }),
+        }
+    }
+
+    /// A withdrawal after a fresh read.
+    pub(super) fn withdraw_known(&mut self, asker: Asker, uid: String) {
+        match self.replica.jobs.get(uid.as_str()).map(|j| j.value.stage) {
+            Some(Stage::Live) => self.commit_withdrawal(asker, &uid),
+            Some(_) => self.answer_known(asker, &uid),
+            None => self.refuse(asker, 404, "no such job", None),
+        }
+    }
+
+    fn commit_withdrawal(&mut self, asker: Asker, uid: &str) {
+        let Some(job) = self.replica.jobs.get(uid) else {
+            return;
+        };
+        let rec = JobRec {
+            stage: Stage::Withdrawn,
+            ..job.value.clone()
+        };
+        let key = job_key(uid);
+        let commit = Commit {
+            conditions: vec![If {
+                key: key.clone(),
+                stamp: job.stamp,
+            }],
+            writes: vec![Write::put(key, &rec)],
+        };
+        if !self.writes.take(1.0, 0.0, self.now.mono) {
+            return self.refuse(asker, 503, "too many requests", Some(c::RETRY_AFTER_S));
+        }
+        let body = serde_json::to_vec(&commit).unwrap_or_default();
+        let purpose = Purpose::Withdraw {
+            asker,
+            uid: uid.to_string(),
+            commit,
+        };
+        self.metrics.state_writes += 1;
+        self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
+    }
+
+    pub(super) fn withdrawn(
+        &mut self,
+        asker: Asker,
+        uid: String,
+        commit: Commit,
+        reply: Option<(u16, Vec<u8>)>,
+    ) {
+        match reply {
+            Some((200, body)) => {
+                let Ok(done) = serde_json::from_slice::<Committed>(&body) else {
+                    return self.unavailable(asker);
+                };
+                self.own_commit(&commit, done.ledger_rev);
+                log::debug!("{uid}: withdrawn");
+                self.answer_json(
+                    asker,
+                    200,
+                    &Accepted {
+                        uid: &uid,
+                        status: Status::Withdrawn,
+                    },
+                );
+            }
+            // Done in the meantime, or withdrawn already.
+            Some((409, _)) => self.want_fresh(Waiter::Withdraw { asker, uid }),
+            Some((429, _)) => self.refuse(asker, 503, "too many requests", Some(c::RETRY_AFTER_S)),
+            _ => self.relay_or_refuse(asker, "POST", format!("/v1/jobs/{uid}/withdraw"), vec![]),
+        }
+    }
+
+    /// 200 when users are at least as well off here as elsewhere: served by the state
+    /// service, or able to have a served peer answer, or all are refused alike (coming
+    /// back into the balancer is slow, and there is nowhere better to go).
+    pub(super) fn up(&mut self, conn: ConnId) {
+        let ok = self.served() || {
+            let fresh: Vec<_> = self.fresh_gossip().collect();
+            let all_refused =
+                fresh.len() == self.peers.len() && fresh.iter().all(|g| !served_gossip(g));
+            self.sync.loaded && (self.best_peer().is_some() || all_refused)
+        };
+        let (status, body) = if ok {
+            (200, "{\"up\":true}")
+        } else {
+            (503, "{\"up\":false}")
+        };
+        self.respond(conn, status, (!ok).then_some(c::RETRY_AFTER_S), body.into());
+    }
+}
+
+/// Whether a peer says that the state service serves it.
+pub(super) fn served_gossip(g: &crate::protocol::peers::Gossip) -> bool {
+    g.served_ago_ms.is_some_and(|ms| ms < c::STATE_LOST_MS)
+}
--- /dev/null
+++ b/src/coordination/workers.rs
@@ -0,0 +1,489 @@
+//! Workers' reports and the orders that travel in their answers.
+//!
+//! What a report settles, and when: only a report that shows our baton, the newest by
+//! tenure and tally. A start that a newer report doesn't show was not executed, since a
+//! worker has one report in flight and drops late answers, so it is sent again.
+
+use super::leader::{is_failure, is_on};
+use super::*;
+use crate::bookkeeping::books::*;
+use crate::bookkeeping::records::*;
+use crate::protocol::users::Shape;
+use crate::protocol::workers::*;
+use crate::protocol::{parse_task, task_name, Resources};
+
+/// A report whose answer waits for a commit that may bring orders.
+#[derive(Debug)]
+pub(super) struct HeldReport {
+    pub conn: ConnId,
+    machine: Name,
+    newest: (u64, u64),
+    since: u64,
+    ours: bool,
+    /// Tasks shown as ended, and tasks shown that nothing explains.
+    ended: Vec<(String, u64)>,
+    strays: Vec<(String, u64)>,
+}
+
+impl Controller {
+    pub(super) fn elsewhere(&mut self, conn: ConnId) {
+        let steward = match &self.replica.leader {
+            Some(l) if l.value.label != self.cfg.label && l.value.term >= self.term_heard => {
+                Some(l.value.label.clone())
+            }
+            _ => self
+                .fresh_gossip()
+                .find(|g| g.leads && g.term >= self.term_heard)
+                .map(|g| g.label.clone()),
+        };
+        let body = serde_json::to_vec(&Elsewhere { steward }).unwrap_or_default();
+        self.respond(conn, 421, None, body);
+    }
+
+    pub(super) fn checkin(&mut self, conn: ConnId, body: &[u8]) {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(r) => r,
+            Err(e) => {
+                let asker = Asker {
+                    conn,
+                    relayed: false,
+                    since: self.now.mono,
+                };
+                return self.refuse(asker, 400, &e.to_string(), None);
+            }
+        };
+        let now = self.now.mono;
+        self.metrics.reports += 1;
+        self.workers_seen.insert(report.stead.clone(), now);
+        if report.baton > self.term_heard {
+            self.term_heard = report.baton;
+            self.check_term();
+        }
+        let ready = self.leader.as_ref().is_some_and(|l| l.ready);
+        if !ready || !self.may_answer() {
+            return self.elsewhere(conn);
+        }
+        self.absorb(conn, report);
+    }
+
+    fn absorb(&mut self, conn: ConnId, report: Report) {
+        let now = self.now.mono;
+        let catalog = self.catalog.clone();
+        let key_stamp = self.replica.stamp(&place_key(&report.stead));
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        l.heard_at = now;
+        if l.fleet.is_gone(&report.stead) {
+            // A late report of a machine that was deleted.
+            return self.elsewhere(conn);
+        }
+        let name: Name = report.stead.as_str().into();
+        let ours = report.baton == l.term;
+        let m = l.books.machine_entry(&name, key_stamp, now);
+        let id = (report.tenure, report.tally);
+        if id <= m.newest {
+            // Late or repeated: the worker has given it up.
+            return self.elsewhere(conn);
+        }
+        m.newest = id;
+        m.sku = report.build;
+        m.yard = report.yard;
+        m.spot = report.lendables;
+        if let Some(b) = catalog
+            .iter()
+            .flat_map(|c| &c.builds)
+            .find(|b| b.sku == m.sku)
+        {
+            m.total = Resources::new(b.cores, b.gpus, b.ram_gb);
+        }
+        if m.life == Life::Booting {
+            m.life = Life::Up;
+            log::info!(
+                "{name}: up, {} in {}{}",
+                m.sku,
+                m.yard,
+                if m.spot { ", spot" } else { "" }
+            );
+        }
+        m.up_at.get_or_insert(now);
+        m.reported_at = Some(now);
+        m.lapsed = false;
+        m.shows_baton |= ours;
+        if ours {
+            m.our_tenure = report.tenure;
+        }
+        let recalled = m.recall_at.is_some();
+        m.recall_at = report
+            .recall_s
+            .map(|s| now + (s.max(0.0) * c::MS_PER_S) as u64);
+        if m.recall_at.is_some() && !recalled {
+            log::info!(
+                "{name}: to be taken in {:.0} s",
+                report.recall_s.unwrap_or(0.0)
+            );
+        }
+        let mut held = HeldReport {
+            conn,
+            machine: name.clone(),
+            newest: id,
+            since: now,
+            ours,
+            ended: Vec::new(),
+            strays: Vec::new(),
+        };
+        let mut shown: HashMap<(TaskId, u64), &Load> = HashMap::new();
+        for load in &report.loads {
+            let Some((job, task)) = parse_task(&load.load) else {
+                continue;
+            };
+            shown.insert(((Name::from(job), task), load.attempt), load);
+            if !is_on(load.status) {
+                held.ended.push((load.load.clone(), load.attempt));
+            }
+        }
+        // What we know of, against what is shown.
+        let mut settled: Vec<(TaskId, Cause)> = Vec::new();
+        let mut running: Vec<(TaskId, u64)> = Vec::new();
+        for (task, p) in &mut m.placements {
+            if p.ended.is_some() {
+                continue;
+            }
+            match shown.get(&(task.clone(), p.attempt)) {
+                Some(load) if !is_on(load.status) => {
+                    if ours {
+                        settled.push((task.clone(), load.cause.unwrap_or(Cause::Lost)));
+                    }
+                }
+                Some(load) => {
+                    p.seen = Some(load.status);
+                    if load.status != TaskStatus::Pulling && p.running_since.is_none() {
+                        p.running_since = Some(now);
+                        running.push((task.clone(), p.placed_at));
+                    }
+                }
+                None if !ours => {}
+                // It was there and is not any more: killed with its session.
+                None if p.seen.is_some() => settled.push((task.clone(), Cause::Lost)),
+                // Never arrived, and not wanted any more.
+                None if p.halt.is_some() && p.ordered.is_none_or(|o| id > o) => {
+                    settled.push((task.clone(), Cause::Lost))
+                }
+                None => {}
+            }
+        }
+        for ((job, task), placed_at) in running {
+            let Some(spec) = l.books.jobs.get(&job).and_then(|j| j.spec.clone()) else {
+                continue;
+            };
+            let room = catalog
+                .iter()
+                .flat_map(|c| &c.builds)
+                .find(|b| b.sku == l.books.machines[&name].sku)
+                .map_or(0.0, |b| b.local_gb);
+            if let Some(m) = l.books.machines.get_mut(&name) {
+                m.note_kit(&spec.kit, spec.size_gb, room);
+                m.touch(false);
+            }
+            let _ = self.metrics.start_ms.record(now - placed_at);
+            log::debug!(
+                "{job}/{task}: runs on {name}, {} ms after it was placed",
+                now - placed_at
+            );
+        }
+        for (task, cause) in settled {
+            l.note_end(&name, &task, cause, now);
+            l.books.settle(&name, &task, cause);
+            l.plan_soon(now);
+        }
+        // What is shown and nothing explains.
+        for load in report.loads.iter().filter(|x| is_on(x.status)) {
+            let Some((job, task)) = parse_task(&load.load) else {
+                continue;
+            };
+            let id: TaskId = (job.into(), task);
+            let known = l.books.machines[&name]
+                .placements
+                .get(&id)
+                .is_some_and(|p| p.attempt == load.attempt);
+            if known {
+                continue;
+            }
+            log::info!(
+                "{}: attempt {} on {name} is not in the books",
+                load.load,
+                load.attempt
+            );
+            held.strays.push((load.load.clone(), load.attempt));
+            l.books.count_stray(&name, &id, load.attempt, now);
+        }
+        if l.books.machines[&name].placements.is_empty() {
+            l.books
+                .machines
+                .get_mut(&name)
+                .map(|m| m.idle_since.get_or_insert(now));
+        }
+        l.recall(&name, now, &self.cfg);
+        l.held.push(held);
+    }
+
+    /// Answers held reports whose commits are in, or that can wait no longer.
+    pub(super) fn flush_held(&mut self) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else {
+            return;
+        };
+        let deciding = l.ready && l.deciding(now);
+        let mut go = Vec::new();
+        let mut keep = Vec::new();
+        for h in l.held.drain(..) {
+            let wants = l.books.machines.get(&h.machine).is_some_and(|m| {
+                m.urgent || (m.life == Life::Up && !m.draining && m.recall_at.is_none())
+            });
+            if deciding && wants && now < h.since + c::REPORT_HOLD_MS {
+                keep.push(h);
+            } else {
+                go.push(h);
+            }
+        }
+        l.held = keep;
+        for h in go {
+            self.answer_report(h);
+        }
+    }
+
+    fn answer_report(&mut self, h: HeldReport) {
+        let now = self.now.mono;
+        if !self.may_answer() {
+            return self.elsewhere(h.conn);
+        }
+        let Some(l) = self.leader.as_mut() else {
+            return self.elsewhere(h.conn);
+        };
+        let term = l.term;
+        let jobs = &l.books.jobs;
+        let Some(m) = l.books.machines.get_mut(&h.machine) else {
+            return self.elsewhere(h.conn);
+        };
+        if m.newest != h.newest || m.life == Life::Gone {
+            return self.elsewhere(h.conn);
+        }
+        let mut orders = Vec::new();
+        let mut starts = Vec::new();
+        let mut never_ordered = Vec::new();
+        for (load, attempt) in h.strays {
+            orders.push(Order::Halt {
+                load,
+                attempt,
+                wind_down_s: 0.0,
+            });
+        }
+        for (load, attempt) in h.ended {
+            // Only once what it said is committed, which takes the placement out.
+            let open = parse_task(&load).is_some_and(|(job, task)| {
+                m.placements
+                    .get(&(job.into(), task))
+                    .is_some_and(|p| p.attempt == attempt)
+            });
+            if !open {
+                orders.push(Order::Clear { load, attempt });
+            }
+        }
+        for (id, p) in &mut m.placements {
+            if p.ended.is_some() || p.phase != Phase::Committed {
+                continue;
+            }
+            let job = jobs.get(&id.0);
+            let live = job.is_some_and(|j| j.stage == Stage::Live && !j.done.get(id.1));
+            let halt = if live { p.halt } else { Some(Halt::Unwanted) };
+            let load = task_name(&id.0, id.1);
+            let inherited = p.attempt >> c::ATTEMPT_BITS != term;
+            if let Some(halt) = halt {
+                if p.seen.is_none() && p.ordered.is_none() && !inherited {
+                    never_ordered.push(id.clone());
+                    continue;
+                }
+                let saves = job.and_then(|j| j.spec.as_ref()).filter(|s| s.saves());
+                let wind_down_s = match (halt, saves) {
+                    (Halt::MakeRoom, Some(s)) => s.mark_cost_s + c::WIND_DOWN_EXTRA_S,
+                    _ => 0.0,
+                };
+                orders.push(Order::Halt {
+                    load,
+                    attempt: p.attempt,
+                    wind_down_s,
+                });
+            } else if p.seen.is_none() && m.life == Life::Up && (!inherited || h.ours) {
+                p.ordered = Some(h.newest);
+                starts.push(Order::Start {
+                    load,
+                    attempt: p.attempt,
+                });
+            }
+        }
+        orders.extend(starts);
+        m.answered_at = Some(now);
+        for id in never_ordered {
+            l.books.settle(&h.machine, &id, Cause::Lost);
+        }
+        let _ = self.metrics.report_ms.record(now - h.since);
+        let body = serde_json::to_vec(&Orders {
+            baton: term,
+            orders,
+        })
+        .unwrap_or_default();
+        self.respond(h.conn, 200, None, body);
+    }
+}
+
+impl Leader {
+    /// Draws conclusions from how a task ended: run times, sick machines, bad jobs.
+    fn note_end(&mut self, machine: &Name, id: &TaskId, cause: Cause, now: u64) {
+        let books = &mut self.books;
+        let Some(job) = books.jobs.get_mut(&id.0) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(m) = books.machines.get_mut(machine) else {
+            return;
+        };
+        let ran = m
+            .placements
+            .get(id)
+            .and_then(|p| p.running_since)
+            .map(|t| now - t);
+        if cause == Cause::Done {
+            // It works here: the machines where it failed before are to blame.
+            let blamed: Vec<Name> = job.failed_on.drain().collect();
+            m.failures.clear();
+            for other in blamed {
+                if let Some(o) = books.machines.get_mut(&other) {
+                    if o.failures.iter().any(|(t, _)| now - t < c::SICK_WINDOW_MS) {
+                        log::info!(
+                            "{other}: set aside, {} failed there and not on {machine}",
+                            id.0
+                        );
+                        o.draining = true;
+                    }
+                }
+            }
+            if let (Some(spec), Some(ran)) = (spec, ran) {
+                if spec.shape == Shape::Batch && !spec.saves() || ran > 0 {
+                    self.learn_run(&spec, ran);
+                }
+            }
+            return;
+        }
+        if !is_failure(cause) {
+            return;
+        }
+        job.failed_on.insert(machine.clone());
+        if job.suspect() {
+            job.fail_pause_ms =
+                (job.fail_pause_ms * 2).clamp(c::FAIL_PAUSE_MS, c::FAIL_PAUSE_MAX_MS);
+            job.paused_until = now + job.fail_pause_ms;
+            log::debug!(
+                "{}: failed on several machines, paused {} ms",
+                id.0,
+                job.fail_pause_ms
+            );
+            return;
+        }
+        m.failures.retain(|(t, _)| now - t < c::SICK_WINDOW_MS);
+        m.failures.push((now, id.0.clone()));
+        let mut jobs: Vec<&Name> = m.failures.iter().map(|(_, j)| j).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        let works_elsewhere = job.successes > 0 && m.failures.len() as u32 >= c::SICK_FAILURES;
+        if (jobs.len() as u32 >= c::SICK_FAILURES || works_elsewhere) && !m.draining {
+            log::info!(
+                "{machine}: set aside, tasks of {} jobs failed there",
+                jobs.len()
+            );
+            m.draining = true;
+        }
+    }
+
+    /// A machine that the cloud will take: tasks that can't end in time are stopped while
+    /// they can still save, and those that can't save at once, so that they start elsewhere.
+    fn recall(&mut self, name: &Name, now: u64, cfg: &Platform) {
+        let jobs = &self.books.jobs;
+        let Some(m) = self.books.machines.get_mut(name) else {
+            return;
+        };
+        let Some(at) = m.recall_at else { return };
+        let left = at.saturating_sub(now);
+        let report = (cfg.params.workers.report_s * c::MS_PER_S) as u64;
+        for ((uid, _), p) in &mut m.placements {
+            let Some(spec) = jobs.get(uid).and_then(|j| j.spec.as_ref()) else {
+                continue;
+            };
+            if p.ended.is_some() || p.halt.is_some() {
+                continue;
+            }
+            let stop = if spec.shape == Shape::Standing || p.running_since.is_none() {
+                true
+            } else if spec.saves() {
+                let needs = ((spec.mark_cost_s + c::RECALL_MARGIN_S) * c::MS_PER_S) as u64;
+                left <= needs + report * 2
+            } else {
+                let ran = p.running_since.map_or(0, |t| now - t);
+                let run = (spec.run_guess_s * c::MS_PER_S) as u64;
+                run.saturating_sub(ran) > left
+            };
+            if stop {
+                p.halt = Some(Halt::MakeRoom);
+                p.halt_at = now;
+            }
+        }
+    }
+}
+
+impl Books {
+    /// A machine by name, made if it is new.
+    pub(super) fn machine_entry(&mut self, name: &Name, key_stamp: u64, now: u64) -> &mut Machine {
+        if !self.machines.contains_key(name) {
+            let mut m = Machine::new(name.clone(), now);
+            m.key_stamp = key_stamp;
+            let key = place_key(name);
+            self.garbage.retain(|(k, _)| *k != key);
+            self.machines.insert(name.clone(), m);
+        }
+        self.machines.get_mut(name).expect("just made")
+    }
+
+    /// A task that runs with no placement: counted where it is, so that it is not started
+    /// elsewhere, and halted.
+    fn count_stray(&mut self, machine: &Name, id: &TaskId, attempt: u64, now: u64) {
+        let Some(job) = self.jobs.get_mut(&id.0) else {
+            return;
+        };
+        let free = job.stage == Stage::Live
+            && !job.done.get(id.1)
+            && !job.placed.contains_key(&id.1)
+            && !job.settling.contains(&id.1)
+            && id.1 < job.loads;
+        if !free {
+            return;
+        }
+        // Tasks between the fresh ones and this one wait like returned ones.
+        while job.next_fresh <= id.1 {
+            let t = job.next_fresh;
+            if !job.done.get(t) {
+                job.returned.insert(t);
+            }
+            job.next_fresh += 1;
+        }
+        self.propose(&id.0, id.1, machine, attempt, now);
+        if let Some(p) = self
+            .machines
+            .get_mut(machine)
+            .and_then(|m| m.placements.get_mut(id))
+        {
+            p.phase = Phase::Committed;
+            p.seen = Some(TaskStatus::Running);
+            p.halt = Some(Halt::MakeRoom);
+            p.halt_at = now;
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,20 @@
+//! mountgap: a cluster scheduler in one program.
+//!
+//! Several controllers run the same program, keep no disk and share one small
+//! state service. The layers, from the outside in:
+//!
+//! * [`transport`]: sockets, HTTP, connections and deadlines;
+//! * [`protocol`]: the messages of every interface, nothing else knows wire names;
+//! * [`coordination`]: leadership, planning, machines, workers' orders, users' requests;
+//! * [`bookkeeping`]: what is stored and what is counted.
+//!
+//! The core ([`coordination::Controller`]) does no I/O: commands go in, effects come
+//! out, and time and randomness are passed in.
+
+pub mod bookkeeping;
+pub mod constants;
+pub mod coordination;
+pub mod daemon;
+pub mod protocol;
+pub mod settings;
+pub mod transport;
--- /dev/null
+++ b/src/protocol/cloud.rs
@@ -0,0 +1,84 @@
+//! Controllers -> cloud.
+
+use serde::{Deserialize, Serialize};
+
+/// `GET /catalog`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Catalog {
+    pub builds: Vec<Build>,
+}
+
+/// A machine type.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Build {
+    pub sku: String,
+    pub cores: f64,
+    pub gpus: f64,
+    pub ram_gb: f64,
+    #[serde(default)]
+    pub local_gb: f64,
+    #[serde(default)]
+    pub pull_gb_per_s: f64,
+    pub rate: f64,
+    #[serde(default)]
+    pub low_price: f64,
+    pub ready_s: f64,
+    pub yards: Vec<String>,
+}
+
+/// `POST /hosts`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Rent {
+    pub hire: String,
+    pub build: String,
+    pub yard: String,
+    pub lendables: bool,
+    pub number: usize,
+}
+
+/// Names of machines: answer to a rental, body of a deletion.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Names {
+    pub steads: Vec<String>,
+}
+
+/// State of a machine in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostStatus {
+    Starting,
+    Running,
+    Failed,
+    #[serde(other)]
+    Unknown,
+}
+
+/// A listed machine.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Host {
+    pub uid: String,
+    #[serde(default)]
+    pub address: String,
+    pub build: String,
+    pub yard: String,
+    pub lendables: bool,
+    pub status: HostStatus,
+    #[serde(default)]
+    pub age_s: f64,
+}
+
+/// `GET /hosts`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Hosts {
+    pub steads: Vec<Host>,
+    #[serde(default)]
+    pub has_next: bool,
+}
+
+/// Path of a page of the list.
+pub fn hosts_path(since: Option<&str>, limit: usize) -> String {
+    match since {
+        Some(s) => format!("/hosts?since={s}&limit={limit}"),
+        None => format!("/hosts?limit={limit}"),
+    }
+}
--- /dev/null
+++ b/src/protocol/peers.rs
@@ -0,0 +1,81 @@
+//! Controllers <-> controllers, in CBOR (`ciborium`).
+
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+
+/// What controllers tell each other about themselves.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Gossip {
+    pub version: u32,
+    pub label: String,
+    pub incarnation: u64,
+    /// Highest term known.
+    pub term: u64,
+    /// Whether the sender leads in that term.
+    pub leads: bool,
+    /// Highest revision of the state service in any answer the sender got.
+    pub max_rev: u64,
+    /// Milliseconds since the sender's process began.
+    pub age_ms: u64,
+    /// Milliseconds since the state service last served the sender; none: never.
+    pub served_ago_ms: Option<u64>,
+    /// Workers that reported to the sender within the last few seconds.
+    pub workers_seen: u32,
+}
+
+/// A user's request that the receiver is asked to answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Relay {
+    pub version: u32,
+    pub method: String,
+    pub path: String,
+    #[serde(with = "serde_bytes_vec")]
+    pub body: Vec<u8>,
+}
+
+/// The answer to pass on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Relayed {
+    pub version: u32,
+    pub status: u16,
+    pub retry_after_s: Option<u64>,
+    #[serde(with = "serde_bytes_vec")]
+    pub body: Vec<u8>,
+}
+
+/// Bodies as CBOR byte strings instead of arrays of numbers.
+mod serde_bytes_vec {
+    use serde::{Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(v: &[u8], s: S) -> Result<S::Ok, S::Error> {
+        s.serialize_bytes(v)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Vec<u8>, D::Error> {
+        struct V;
+        impl serde::de::Visitor<'_> for V {
+            type Value = Vec<u8>;
+            fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+                f.write_str("bytes")
+            }
+            fn visit_bytes<E>(self, v: &[u8]) -> Result<Vec<u8>, E> {
+                Ok(v.to_vec())
+            }
+            fn visit_byte_buf<E>(self, v: Vec<u8>) -> Result<Vec<u8>, E> {
+                Ok(v)
+            }
+        }
+        d.deserialize_byte_buf(V)
+    }
+}
+
+/// Encodes a message.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut out = Vec::new();
+    ciborium::into_writer(value, &mut out).expect("messages encode into memory");
+    out
+}
+
+/// Decodes a message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    ciborium::from_reader(bytes).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/src/protocol/state.rs
@@ -0,0 +1,135 @@
+//! Controllers -> state service.
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+/// A key with its value.
+#[derive(Debug, Deserialize)]
+pub struct Item {
+    pub key: String,
+    pub data: Box<RawValue>,
+    pub stamp: u64,
+}
+
+/// `GET /store?prefix=`.
+#[derive(Debug, Deserialize)]
+pub struct Page {
+    pub items: Vec<Item>,
+    #[serde(default)]
+    pub has_next: bool,
+    pub ledger_rev: u64,
+}
+
+/// A condition of a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct If {
+    pub key: String,
+    pub stamp: u64,
+}
+
+/// A change in a transaction.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Write {
+    Put {
+        write: String,
+        data: Box<RawValue>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        tenancy: Option<u64>,
+    },
+    Remove {
+        remove: String,
+    },
+}
+
+impl Write {
+    /// A write of a value with no lease.
+    pub fn put<T: Serialize>(key: String, value: &T) -> Write {
+        Write::Put {
+            write: key,
+            data: raw(value),
+            tenancy: None,
+        }
+    }
+
+    /// The key that is changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Write::Put { write, .. } => write,
+            Write::Remove { remove } => remove,
+        }
+    }
+}
+
+/// A value as stored.
+pub fn raw<T: Serialize>(value: &T) -> Box<RawValue> {
+    serde_json::value::to_raw_value(value).expect("stored values have string keys only")
+}
+
+/// `POST /commit`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Commit {
+    #[serde(rename = "if")]
+    pub conditions: Vec<If>,
+    pub writes: Vec<Write>,
+}
+
+/// Answer of a commit that was applied.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Committed {
+    pub ledger_rev: u64,
+}
+
+/// Answer of a commit whose conditions failed.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Conflict {
+    #[serde(default)]
+    pub failed: Vec<String>,
+    #[serde(default)]
+    pub ledger_rev: u64,
+}
+
+/// One change seen by a watch.
+#[derive(Debug, Deserialize)]
+pub struct Event {
+    #[serde(default)]
+    pub write: Option<String>,
+    #[serde(default)]
+    pub remove: Option<String>,
+    #[serde(default)]
+    pub data: Option<Box<RawValue>>,
+    pub stamp: u64,
+}
+
+/// `GET /changes`.
+#[derive(Debug, Deserialize)]
+pub struct Changes {
+    pub ledger_rev: u64,
+    #[serde(default)]
+    pub events: Vec<Event>,
+}
+
+/// `POST /holds`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct NewHold {
+    pub life_ms: u64,
+}
+
+/// Answer to a new hold.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Hold {
+    pub tenancy: u64,
+}
+
+/// Path of a page of all keys under a prefix.
+pub fn list_path(prefix: &str, since: Option<&str>, limit: usize) -> String {
+    match since {
+        Some(s) => format!("/store?prefix={prefix}&since={s}&limit={limit}"),
+        None => format!("/store?prefix={prefix}&limit={limit}"),
+    }
+}
+
+/// Path of a watch; zero `block_ms` reads what there is.
+pub fn changes_path(prefix: &str, since: u64, block_ms: u64) -> String {
+    format!("/changes?prefix={prefix}&since={since}&block_ms={block_ms}")
+}
--- /dev/null
+++ b/src/protocol/users.rs
@@ -0,0 +1,181 @@
+//! Users -> controllers.
+
+use super::Resources;
+use serde::{Deserialize, Serialize};
+
+/// Longest name of a class, team, image, type or zone, in bytes.
+const NAME_MAX: usize = 100;
+/// Most machine types a submission may list.
+const BUILDS_MAX: usize = 64;
+/// Most tasks of a job (protocol).
+pub const LOADS_MAX: u32 = 100_000;
+/// Largest amount or duration accepted; keeps arithmetic exact.
+const AMOUNT_MAX: f64 = 1e9;
+
+/// Whether tasks end by themselves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Shape {
+    Batch,
+    Standing,
+}
+
+/// Priority, highest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rank {
+    Production,
+    High,
+    Standard,
+    BestEffort,
+}
+
+/// A submission, as users send it and as it is stored.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Spec {
+    pub uid: String,
+    pub duty: String,
+    pub crew: String,
+    pub shape: Shape,
+    pub rank: Rank,
+    pub loads: u32,
+    pub cores: f64,
+    pub gpus: f64,
+    pub ram_gb: f64,
+    pub kit: String,
+    pub size_gb: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub builds: Option<Vec<String>>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub yard: Option<String>,
+    pub together: bool,
+    pub apart: bool,
+    pub lendables: bool,
+    pub run_guess_s: f64,
+    pub mark_every_s: f64,
+    pub mark_cost_s: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub due_s: Option<f64>,
+}
+
+impl Spec {
+    /// What each task takes.
+    pub fn need(&self) -> Resources {
+        Resources::new(self.cores, self.gpus, self.ram_gb)
+    }
+
+    /// Whether a stopped task can keep its progress.
+    pub fn saves(&self) -> bool {
+        self.mark_every_s > 0.0
+    }
+
+    /// Most tasks that may be in one zone.
+    pub fn zone_cap(&self) -> u32 {
+        if self.apart {
+            self.loads.div_ceil(2)
+        } else {
+            self.loads
+        }
+    }
+}
+
+/// A submission's id, read before the rest is judged: a repeat of an accepted job is
+/// answered with its state whatever else it carries.
+pub fn submitted_uid(body: &[u8]) -> Result<(String, serde_json::Value), String> {
+    let value: serde_json::Value = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let object = value.as_object().ok_or("not an object")?;
+    let uid = object
+        .get("uid")
+        .and_then(|u| u.as_str())
+        .ok_or("uid: missing or not a string")?;
+    if !valid_uid(uid) {
+        return Err("uid: must look like job-000412".into());
+    }
+    Ok((uid.to_string(), value))
+}
+
+/// Whether a job id has the form that the protocol gives.
+pub fn valid_uid(uid: &str) -> bool {
+    uid.strip_prefix("job-")
+        .is_some_and(|d| (1..=19).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+}
+
+/// Parses and checks the whole submission.
+pub fn parse_submission(value: serde_json::Value) -> Result<Spec, String> {
+    let s: Spec = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    let name = |field: &str, v: &str| {
+        if v.is_empty() || v.len() > NAME_MAX {
+            Err(format!("{field}: must have 1 to {NAME_MAX} bytes"))
+        } else {
+            Ok(())
+        }
+    };
+    name("duty", &s.duty)?;
+    name("crew", &s.crew)?;
+    name("kit", &s.kit)?;
+    if let Some(yard) = &s.yard {
+        name("yard", yard)?;
+    }
+    if let Some(builds) = &s.builds {
+        if builds.len() > BUILDS_MAX {
+            return Err("builds: too many".into());
+        }
+        for b in builds {
+            name("builds", b)?;
+        }
+    }
+    if !(1..=LOADS_MAX).contains(&s.loads) {
+        return Err(format!("loads: must lie between 1 and {LOADS_MAX}"));
+    }
+    let amounts = [
+        ("cores", s.cores),
+        ("gpus", s.gpus),
+        ("ram_gb", s.ram_gb),
+        ("size_gb", s.size_gb),
+        ("run_guess_s", s.run_guess_s),
+        ("mark_every_s", s.mark_every_s),
+        ("mark_cost_s", s.mark_cost_s),
+        ("due_s", s.due_s.unwrap_or(0.0)),
+    ];
+    for (field, v) in amounts {
+        if !(0.0..=AMOUNT_MAX).contains(&v) {
+            return Err(format!("{field}: out of range"));
+        }
+    }
+    if s.need() == Resources::default() {
+        return Err("cores: a task must take something".into());
+    }
+    Ok(s)
+}
+
+/// A job's state in users' words.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Status {
+    Queued,
+    Running,
+    Done,
+    Withdrawn,
+}
+
+/// Answer to a submission or a withdrawal.
+#[derive(Serialize)]
+pub struct Accepted<'a> {
+    pub uid: &'a str,
+    pub status: Status,
+}
+
+/// Answer to a poll.
+#[derive(Serialize)]
+pub struct View<'a> {
+    pub uid: &'a str,
+    pub status: Status,
+    pub done: u32,
+    pub running: u32,
+}
+
+/// Body of every refusal.
+#[derive(Serialize)]
+pub struct Refusal<'a> {
+    pub error: &'a str,
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,270 @@
+//! The two settings files: the platform's JSON and the operators' protobuf text.
+
+use crate::constants as c;
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+
+#[allow(clippy::all, missing_docs)]
+mod generated {
+    include!(concat!(env!("OUT_DIR"), "/generated/mod.rs"));
+}
+pub use generated::operator as proto;
+
+/// A settings file that can't be used: names the file, the field and the reason.
+#[derive(Debug, thiserror::Error)]
+#[error("{file}: {reason}")]
+pub struct SettingsError {
+    /// The file as given on the command line.
+    pub file: String,
+    /// Field and reason.
+    pub reason: String,
+}
+
+/// What the platform hands over.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Platform {
+    pub label: String,
+    pub zone: String,
+    pub listen: SocketAddrV4,
+    pub peer_bind: SocketAddrV4,
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    pub services: Services,
+    pub params: Params,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    pub label: String,
+    #[serde(default)]
+    pub zone: String,
+    pub address: SocketAddrV4,
+}
+
+/// Where cloud and state service answer.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddrV4,
+    pub state: SocketAddrV4,
+}
+
+/// Facts of the deployment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    #[serde(default)]
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub machine_limits: MachineLimits,
+    #[serde(default)]
+    pub time_bound_ms: f64,
+}
+
+/// A team with its guarantee and its limit; 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// One of the users' aims, as far as planning can use it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
+/// The workers' timing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+/// What this process may use.
+#[derive(Debug, Clone, Deserialize)]
+pub struct MachineLimits {
+    pub core_share: f64,
+    pub mem_mb: f64,
+    pub sockets: usize,
+}
+
+impl Platform {
+    /// Parses and checks the platform's settings.
+    pub fn parse(text: &str) -> Result<Platform, String> {
+        let p: Platform = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        p.check()?;
+        Ok(p)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let positive = [
+            ("params.workers.report_s", self.params.workers.report_s),
+            ("params.workers.lease_s", self.params.workers.lease_s),
+            ("params.workers.cancel_s", self.params.workers.cancel_s),
+            ("params.state.rps", self.params.state.rps),
+            ("params.state.write_rps", self.params.state.write_rps),
+            ("params.state.value_kb", self.params.state.value_kb),
+            ("params.cloud.rps", self.params.cloud.rps),
+        ];
+        for (field, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(format!("{field}: must be above 0, is {value}"));
+            }
+        }
+        if self.label.is_empty() {
+            return Err("label: must not be empty".into());
+        }
+        if self.params.state.txn_ops < 2 {
+            return Err("params.state.txn_ops: must be at least 2".into());
+        }
+        if self.params.machine_limits.sockets < 32 {
+            return Err("params.machine_limits.sockets: must be at least 32".into());
+        }
+        if self.peers.iter().any(|p| p.label == self.label) {
+            return Err("peers: names this controller itself".into());
+        }
+        Ok(())
+    }
+
+    /// Number of controllers.
+    pub fn controllers(&self) -> usize {
+        self.peers.len() + 1
+    }
+}
+
+/// How hard a class leans on the shared bandwidth of a machine.
+pub type Bandwidth = f64;
+
+/// The operators' settings with every default filled in.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    pub thresholds: Vec<f64>,
+    pub pass_period_ms: u64,
+    pub duty_bandwidth: Vec<(String, Bandwidth)>,
+    pub headroom_share: f64,
+    pub idle_return_s: f64,
+    pub rent_spot: bool,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            thresholds: c::THRESHOLDS.to_vec(),
+            pass_period_ms: c::PASS_PERIOD_MS,
+            duty_bandwidth: Vec::new(),
+            headroom_share: c::HEADROOM_SHARE,
+            idle_return_s: c::IDLE_RETURN_S,
+            rent_spot: true,
+        }
+    }
+}
+
+impl Operator {
+    /// Parses the operators' protobuf text and fills in what it leaves out.
+    pub fn parse(text: &str) -> Result<Operator, String> {
+        let msg: proto::Operator =
+            protobuf::text_format::parse_from_str(text).map_err(|e| e.to_string())?;
+        let mut o = Operator::default();
+        let planner = msg.planner.get_or_default();
+        if !planner.thresholds.is_empty() {
+            o.thresholds = planner.thresholds.clone();
+            if o.thresholds.iter().any(|t| !(t.is_finite() && *t >= 1.0)) {
+                return Err("planner.thresholds: each must be at least 1".into());
+            }
+            o.thresholds.sort_by(f64::total_cmp);
+        }
+        if let Some(ms) = planner.pass_period_ms {
+            if !(c::PASS_GAP_MS..=60_000).contains(&ms) {
+                return Err(format!(
+                    "planner.pass_period_ms: must lie between {} and 60000",
+                    c::PASS_GAP_MS
+                ));
+            }
+            o.pass_period_ms = ms;
+        }
+        for d in &planner.duty_bandwidth {
+            let class = match d.bandwidth() {
+                proto::BandwidthClass::LOW => c::BANDWIDTH_LOW,
+                proto::BandwidthClass::MEDIUM => c::BANDWIDTH_MEDIUM,
+                proto::BandwidthClass::HIGH => c::BANDWIDTH_HIGH,
+            };
+            o.duty_bandwidth.push((d.duty().to_string(), class));
+        }
+        let fleet = msg.fleet.get_or_default();
+        if let Some(v) = fleet.headroom_share {
+            if !(0.0..=1.0).contains(&v) {
+                return Err("fleet.headroom_share: must lie between 0 and 1".into());
+            }
+            o.headroom_share = v;
+        }
+        if let Some(v) = fleet.idle_return_s {
+            if !(v.is_finite() && v >= 0.0) {
+                return Err("fleet.idle_return_s: must not be negative".into());
+            }
+            o.idle_return_s = v;
+        }
+        o.rent_spot = fleet.rent_spot.unwrap_or(o.rent_spot);
+        Ok(o)
+    }
+
+    /// What a core of a task of this class takes of a core's bandwidth.
+    pub fn bandwidth(&self, duty: &str) -> Bandwidth {
+        self.duty_bandwidth
+            .iter()
+            .find(|(d, _)| d == duty)
+            .map_or(c::BANDWIDTH_LOW, |(_, b)| *b)
+    }
+}
+
+/// Reads both files.
+pub fn load(config: &str, operator: Option<&str>) -> Result<(Platform, Operator), SettingsError> {
+    fn parse<T>(file: &str, f: fn(&str) -> Result<T, String>) -> Result<T, SettingsError> {
+        let err = |reason: String| SettingsError {
+            file: file.to_string(),
+            reason,
+        };
+        let text = std::fs::read_to_string(file).map_err(|e| err(e.to_string()))?;
+        f(&text).map_err(err)
+    }
+    let platform = parse(config, Platform::parse)?;
+    let operator = match operator {
+        Some(file) => parse(file, Operator::parse)?,
+        None => Operator::default(),
+    };
+    Ok((platform, operator))
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,4 @@
+//! Sockets and HTTP: the only layer that does I/O.
+
+pub mod http;
+pub mod net;
--- /dev/null
+++ b/src/transport/net.rs
@@ -0,0 +1,708 @@
+//! The poll loop's sockets: listeners, inbound connections, pooled outbound ones.
+
+use super::http;
+use crate::constants as c;
+use polling::{Event, Events, PollMode, Poller};
+use socket2::{Domain, SockAddr, Socket, Type};
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Names an inbound connection; never used twice.
+pub type ConnId = u64;
+/// Names an outbound call; chosen by the caller.
+pub type CallId = u64;
+/// Index of a place that calls go to.
+pub type Target = usize;
+
+/// Which listener a request came through.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    Public,
+    Peer,
+}
+
+/// An outbound request.
+#[derive(Debug, Clone)]
+pub struct Call {
+    pub id: CallId,
+    pub target: Target,
+    pub method: &'static str,
+    pub path: String,
+    pub body: Vec<u8>,
+    pub timeout_ms: u64,
+}
+
+/// What came in.
+#[derive(Debug)]
+pub enum Incoming {
+    Request {
+        conn: ConnId,
+        origin: Origin,
+        request: http::Request,
+    },
+    /// `None`: no answer; the request may have been carried out, or may be later.
+    Reply {
+        call: CallId,
+        reply: Option<http::Response>,
+    },
+}
+
+enum Role {
+    Inbound {
+        id: ConnId,
+        origin: Origin,
+        busy: bool,
+        keep_alive: bool,
+        close: bool,
+    },
+    Outbound {
+        target: Target,
+        call: Option<(CallId, Instant)>,
+        connecting: bool,
+    },
+}
+
+struct Conn {
+    stream: TcpStream,
+    role: Role,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+    interest: (bool, bool),
+    /// When the current request began to arrive, or the connection fell idle.
+    since: Instant,
+    ended: bool,
+}
+
+const KEY_PUBLIC: usize = 0;
+const KEY_PEER: usize = 1;
+const KEY_FIRST: usize = 2;
+
+/// All sockets of the process.
+pub struct Net {
+    poller: Poller,
+    mode: PollMode,
+    events: Events,
+    public: TcpListener,
+    peer: TcpListener,
+    conns: HashMap<usize, Conn>,
+    inbound: HashMap<ConnId, usize>,
+    next_key: usize,
+    next_conn: ConnId,
+    targets: Vec<SocketAddrV4>,
+    pooled: Vec<Vec<usize>>,
+    open: Vec<usize>,
+    queued: Vec<VecDeque<(Call, Instant)>>,
+    inbound_max: usize,
+    sweep_at: Instant,
+    incoming: Vec<Incoming>,
+    scratch: Vec<u8>,
+}
+
+fn listen(addr: SocketAddrV4) -> io::Result<TcpListener> {
+    let s = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    s.set_reuse_address(true)?;
+    s.set_nonblocking(true)?;
+    s.bind(&SockAddr::from(addr))?;
+    s.listen(c::LISTEN_BACKLOG)?;
+    Ok(s.into())
+}
+
+impl Net {
+    /// Opens the listeners.
+    pub fn new(
+        public: SocketAddrV4,
+        peer: SocketAddrV4,
+        targets: Vec<SocketAddrV4>,
+        sockets: usize,
+    ) -> io::Result<Net> {
+        let poller = Poller::new()?;
+        let mode = if poller.supports_level() {
+            PollMode::Level
+        } else {
+            PollMode::Oneshot
+        };
+        let (public, peer) = (listen(public)?, listen(peer)?);
+        // SAFETY: both listeners live as long as the poller they are added to.
+        unsafe {
+            poller.add_with_mode(&public, Event::readable(KEY_PUBLIC), mode)?;
+            poller.add_with_mode(&peer, Event::readable(KEY_PEER), mode)?;
+        }
+        let n = targets.len();
+        Ok(Net {
+            poller,
+            mode,
+            events: Events::new(),
+            public,
+            peer,
+            conns: HashMap::new(),
+            inbound: HashMap::new(),
+            next_key: KEY_FIRST,
+            next_conn: 1,
+            targets,
+            pooled: vec![Vec::new(); n],
+            open: vec![0; n],
+            queued: (0..n).map(|_| VecDeque::new()).collect(),
+            inbound_max: (sockets as f64 * c::INBOUND_SOCKET_SHARE) as usize,
+            sweep_at: Instant::now(),
+            incoming: Vec::new(),
+            scratch: vec![0; c::READ_CHUNK],
+        })
+    }
+
+    /// Inbound connections open now.
+    pub fn inbound_count(&self) -> usize {
+        self.inbound.len()
+    }
+
+    /// Waits for sockets or for the time to pass; gives what came in.
+    pub fn poll(&mut self, wait: Duration) -> io::Result<Vec<Incoming>> {
+        let mut events = std::mem::replace(&mut self.events, Events::new());
+        events.clear();
+        match self.poller.wait(&mut events, Some(wait)) {
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+        for ev in events.iter() {
+            match ev.key {
+                KEY_PUBLIC => self.accept(Origin::Public),
+                KEY_PEER => self.accept(Origin::Peer),
+                key => self.ready(key, ev.readable, ev.writable),
+            }
+        }
+        self.events = events;
+        let now = Instant::now();
+        if now >= self.sweep_at {
+            self.sweep_at = now + Duration::from_millis(c::SWEEP_MS);
+            self.sweep(now);
+        }
+        Ok(std::mem::take(&mut self.incoming))
+    }
+
+    fn accept(&mut self, origin: Origin) {
+        if self.mode == PollMode::Oneshot {
+            let (l, key) = match origin {
+                Origin::Public => (&self.public, KEY_PUBLIC),
+                Origin::Peer => (&self.peer, KEY_PEER),
+            };
+            let _ = self
+                .poller
+                .modify_with_mode(l, Event::readable(key), self.mode);
+        }
+        loop {
+            let l = match origin {
+                Origin::Public => &self.public,
+                Origin::Peer => &self.peer,
+            };
+            let stream = match l.accept() {
+                Ok((s, _)) => s,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(_) => return,
+            };
+            if origin == Origin::Public && self.inbound.len() >= self.inbound_max {
+                // Dropped at once: the balancer then tries another controller.
+                continue;
+            }
+            if stream.set_nonblocking(true).is_err() {
+                continue;
+            }
+            let _ = stream.set_nodelay(true);
+            let id = self.next_conn;
+            self.next_conn += 1;
+            let role = Role::Inbound {
+                id,
+                origin,
+                busy: false,
+                keep_alive: true,
+                close: false,
+            };
+            if let Some(key) = self.add(stream, role, (true, false)) {
+                self.inbound.insert(id, key);
+            }
+        }
+    }
+
+    fn add(&mut self, stream: TcpStream, role: Role, interest: (bool, bool)) -> Option<usize> {
+        let key = self.next_key;
+        self.next_key += 1;
+        let ev = Event::new(key, interest.0, interest.1);
+        // SAFETY: every connection is deleted from the poller before it is dropped.
+        unsafe { self.poller.add_with_mode(&stream, ev, self.mode) }.ok()?;
+        let conn = Conn {
+            stream,
+            role,
+            input: Vec::new(),
+            output: Vec::new(),
+            written: 0,
+            interest,
+            since: Instant::now(),
+            ended: false,
+        };
+        self.conns.insert(key, conn);
+        Some(key)
+    }
+
+    fn set_interest(&mut self, key: usize) {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return;
+        };
+        let write = conn.written < conn.output.len()
+            || matches!(
+                conn.role,
+                Role::Outbound {
+                    connecting: true,
+                    ..
+                }
+            );
+        // A client that sends more while it waits for an answer is read later.
+        let read = match &conn.role {
+            Role::Inbound { busy, .. } => {
+                !conn.ended && (!busy || conn.input.len() < c::READ_CHUNK)
+            }
+            Role::Outbound { .. } => true,
+        };
+        let want = (read, write);
+        if want != conn.interest || self.mode == PollMode::Oneshot {
+            conn.interest = want;
+            let ev = Event::new(key, read, write);
+            let _ = self.poller.modify_with_mode(&conn.stream, ev, self.mode);
+        }
+    }
+
+    fn ready(&mut self, key: usize, readable: bool, writable: bool) {
+        if !self.conns.contains_key(&key) {
+            return;
+        }
+        if writable && !self.flush(key) {
+            return;
+        }
+        if readable && !self.read(key) {
+            return;
+        }
+        self.set_interest(key);
+    }
+
+    /// Writes what is waiting; false if the connection is gone.
+    fn flush(&mut self, key: usize) -> bool {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return false;
+        };
+        if let Role::Outbound { connecting, .. } = &mut conn.role {
+            if *connecting {
+                if !matches!(conn.stream.take_error(), Ok(None)) {
+                    self.close(key);
+                    return false;
+                }
+                *connecting = false;
+            }
+        }
+        while conn.written < conn.output.len() {
+            match conn.stream.write(&conn.output[conn.written..]) {
+                Ok(0) => {
+                    self.close(key);
+                    return false;
+                }
+                Ok(n) => conn.written += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.close(key);
+                    return false;
+                }
+            }
+        }
+        conn.output = Vec::new();
+        conn.written = 0;
+        if let Role::Inbound {
+            busy: false,
+            close: true,
+            ..
+        } = conn.role
+        {
+            self.close(key);
+            return false;
+        }
+        true
+    }
+
+    /// Reads what there is; false if the connection is gone.
+    fn read(&mut self, key: usize) -> bool {
+        loop {
+            let Some(conn) = self.conns.get_mut(&key) else {
+                return false;
+            };
+            match conn.stream.read(&mut self.scratch) {
+                Ok(0) => {
+                    conn.ended = true;
+                    break;
+                }
+                Ok(n) => {
+                    if conn.input.is_empty() && matches!(conn.role, Role::Inbound { .. }) {
+                        conn.since = Instant::now();
+                    }
+                    conn.input.extend_from_slice(&self.scratch[..n]);
+                    if conn.input.len() > c::HTTP_REPLY_MAX + c::HTTP_HEAD_MAX {
+                        self.close(key);
+                        return false;
+                    }
+                    if n < self.scratch.len() {
+                        break;
+                    }
+                    if matches!(conn.role, Role::Inbound { .. })
+                        && conn.input.len() > c::HTTP_BODY_MAX + c::HTTP_HEAD_MAX
+                    {
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.close(key);
+                    return false;
+                }
+            }
+        }
+        match self
+            .conns
+            .get(&key)
+            .map(|c| matches!(c.role, Role::Inbound { .. }))
+        {
+            Some(true) => self.take_requests(key),
+            Some(false) => self.take_replies(key),
+            None => false,
+        }
+    }
+
+    fn take_requests(&mut self, key: usize) -> bool {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return false;
+        };
+        let Role::Inbound {
+            id,
+            origin,
+            busy,
+            keep_alive,
+            close,
+        } = &mut conn.role
+        else {
+            return true;
+        };
+        if *busy {
+            if conn.ended && conn.input.is_empty() {
+                // Half-closed: the answer is still written.
+                *close = true;
+            }
+            return true;
+        }
+        match http::take_request(
+            &mut conn.input,
+            match origin {
+                Origin::Public => c::HTTP_BODY_MAX,
+                Origin::Peer => c::HTTP_BODY_MAX + c::HTTP_HEAD_MAX,
+            },
+        ) {
+            Ok(Some(request)) => {
+                *busy = true;
+                *keep_alive = request.keep_alive;
+                conn.since = Instant::now();
+                if conn.input.is_empty() {
+                    conn.input = Vec::new();
+                }
+                self.incoming.push(Incoming::Request {
+                    conn: *id,
+                    origin: *origin,
+                    request,
+                });
+                true
+            }
+            Ok(None) if conn.ended => {
+                if conn.output.is_empty() {
+                    self.close(key);
+                    return false;
+                }
+                *close = true;
+                true
+            }
+            Ok(None) => {
+                if http::wants_continue(&conn.input) {
+                    conn.output
+                        .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    return self.flush(key);
+                }
+                true
+            }
+            Err(e) => {
+                *close = true;
+                conn.ended = true;
+                conn.input = Vec::new();
+                let body = crate::protocol::users::Refusal { error: e.reason };
+                let body = serde_json::to_vec(&body).unwrap_or_default();
+                http::write_response(&mut conn.output, e.status, None, &body, false);
+                self.flush(key)
+            }
+        }
+    }
+
+    /// Answers a request; the connection may be gone by now.
+    pub fn respond(&mut self, id: ConnId, status: u16, retry_after_s: Option<u64>, body: &[u8]) {
+        let Some(&key) = self.inbound.get(&id) else {
+            return;
+        };
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return;
+        };
+        let Role::Inbound {
+            busy,
+            keep_alive,
+            close,
+            ..
+        } = &mut conn.role
+        else {
+            return;
+        };
+        if !*busy {
+            return;
+        }
+        *busy = false;
+        let keep = *keep_alive && !*close && !conn.ended;
+        *close = !keep;
+        conn.since = Instant::now();
+        http::write_response(&mut conn.output, status, retry_after_s, body, keep);
+        if self.flush(key) && self.take_requests(key) {
+            self.set_interest(key);
+        }
+    }
+
+    /// Sends a request; its reply comes from [`Net::poll`].
+    pub fn call(&mut self, call: Call) {
+        let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
+        let target = call.target;
+        while let Some(key) = self.pooled[target].pop() {
+            if self.conns.contains_key(&key) {
+                self.send(key, call, deadline);
+                return;
+            }
+        }
+        if self.open[target] < c::OUTBOUND_PER_TARGET {
+            if let Some(key) = self.connect(target) {
+                self.send(key, call, deadline);
+                return;
+            }
+            self.incoming.push(Incoming::Reply {
+                call: call.id,
+                reply: None,
+            });
+        } else if self.queued[target].len() < c::OUTBOUND_QUEUE {
+            self.queued[target].push_back((call, deadline));
+        } else {
+            self.incoming.push(Incoming::Reply {
+                call: call.id,
+                reply: None,
+            });
+        }
+    }
+
+    fn connect(&mut self, target: Target) -> Option<usize> {
+        let s = Socket::new(Domain::IPV4, Type::STREAM, None).ok()?;
+        s.set_nonblocking(true).ok()?;
+        let _ = s.set_tcp_nodelay(true);
+        match s.connect(&SockAddr::from(self.targets[target])) {
+            Ok(()) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) if e.raw_os_error() == Some(libc_einprogress()) => {}
+            Err(_) => return None,
+        }
+        let role = Role::Outbound {
+            target,
+            call: None,
+            connecting: true,
+        };
+        let key = self.add(s.into(), role, (true, true))?;
+        self.open[target] += 1;
+        Some(key)
+    }
+
+    fn send(&mut self, key: usize, call: Call, deadline: Instant) {
+        let host = self.targets[call.target].to_string();
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return;
+        };
+        let Role::Outbound {
+            call: slot,
+            connecting,
+            ..
+        } = &mut conn.role
+        else {
+            return;
+        };
+        *slot = Some((call.id, deadline));
+        http::write_request(&mut conn.output, call.method, &call.path, &host, &call.body);
+        conn.since = Instant::now();
+        if *connecting || self.flush(key) {
+            self.set_interest(key);
+        }
+    }
+
+    fn take_replies(&mut self, key: usize) -> bool {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return false;
+        };
+        let Role::Outbound { target, call, .. } = &mut conn.role else {
+            return true;
+        };
+        let target = *target;
+        let Some((id, _)) = *call else {
+            // Bytes or an end that nobody asked for.
+            self.close(key);
+            return false;
+        };
+        match http::take_response(&mut conn.input, conn.ended) {
+            Ok(Some(r)) => {
+                *call = None;
+                let keep = r.keep_alive && !conn.ended && conn.input.is_empty();
+                conn.input = Vec::new();
+                conn.since = Instant::now();
+                self.incoming.push(Incoming::Reply {
+                    call: id,
+                    reply: Some(r),
+                });
+                if !keep {
+                    self.close(key);
+                    return false;
+                }
+                match self.next_queued(target) {
+                    Some((call, deadline)) => self.send(key, call, deadline),
+                    None => self.pooled[target].push(key),
+                }
+                self.conns.contains_key(&key)
+            }
+            Ok(None) if !conn.ended => true,
+            Ok(None) | Err(_) => {
+                self.close(key);
+                false
+            }
+        }
+    }
+
+    fn next_queued(&mut self, target: Target) -> Option<(Call, Instant)> {
+        let now = Instant::now();
+        while let Some((call, deadline)) = self.queued[target].pop_front() {
+            if deadline > now {
+                return Some((call, deadline));
+            }
+            self.incoming.push(Incoming::Reply {
+                call: call.id,
+                reply: None,
+            });
+        }
+        None
+    }
+
+    fn close(&mut self, key: usize) {
+        let Some(conn) = self.conns.remove(&key) else {
+            return;
+        };
+        let _ = self.poller.delete(&conn.stream);
+        match conn.role {
+            Role::Inbound { id, .. } => {
+                self.inbound.remove(&id);
+            }
+            Role::Outbound { target, call, .. } => {
+                self.open[target] -= 1;
+                self.pooled[target].retain(|k| *k != key);
+                if let Some((id, _)) = call {
+                    self.incoming.push(Incoming::Reply {
+                        call: id,
+                        reply: None,
+                    });
+                }
+                if let Some((call, _)) = self.next_queued(target) {
+                    self.call(call);
+                }
+            }
+        }
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        let over = |since: Instant, ms: u64| now.duration_since(since) > Duration::from_millis(ms);
+        let mut slow = Vec::new();
+        let mut gone = Vec::new();
+        for (key, conn) in &self.conns {
+            match &conn.role {
+                Role::Inbound { busy: true, .. } => {}
+                Role::Inbound { .. } if !conn.output.is_empty() => {
+                    if over(conn.since, c::HTTP_REQUEST_MS) {
+                        gone.push(*key);
+                    }
+                }
+                Role::Inbound { .. } if !conn.input.is_empty() => {
+                    if over(conn.since, c::HTTP_REQUEST_MS) {
+                        slow.push(*key);
+                    }
+                }
+                Role::Inbound { .. } => {
+                    if over(conn.since, c::HTTP_IDLE_MS) {
+                        gone.push(*key);
+                    }
+                }
+                Role::Outbound {
+                    call: Some((_, deadline)),
+                    ..
+                } => {
+                    if now >= *deadline {
+                        gone.push(*key);
+                    }
+                }
+                Role::Outbound { call: None, .. } => {
+                    if over(conn.since, c::HTTP_IDLE_MS) {
+                        gone.push(*key);
+                    }
+                }
+            }
+        }
+        for key in slow {
+            if let Some(conn) = self.conns.get_mut(&key) {
+                conn.input = Vec::new();
+                conn.ended = true;
+                if let Role::Inbound { close, .. } = &mut conn.role {
+                    *close = true;
+                }
+                http::write_response(
+                    &mut conn.output,
+                    408,
+                    None,
+                    b"{\"error\":\"too slow\"}",
+                    false,
+                );
+                self.flush(key);
+            }
+        }
+        for key in gone {
+            self.close(key);
+        }
+        for target in 0..self.targets.len() {
+            let late: Vec<CallId> = self.queued[target]
+                .iter()
+                .filter(|(_, deadline)| *deadline <= now)
+                .map(|(call, _)| call.id)
+                .collect();
+            self.queued[target].retain(|(_, deadline)| *deadline > now);
+            for call in late {
+                self.incoming.push(Incoming::Reply { call, reply: None });
+            }
+        }
+    }
+
+    /// Whether something came in that [`Net::poll`] has not given yet.
+    pub fn has_incoming(&self) -> bool {
+        !self.incoming.is_empty()
+    }
+}
+
+/// `EINPROGRESS` on Linux: a connection attempt that goes on.
+fn libc_einprogress() -> i32 {
+    115
+}
