--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -227,10 +227,7 @@
         if self.stage != Stage::Live {
             return None;
         }
-        self.returned
-            .first()
-            .copied()
-            .or((self.next_fresh < self.loads).then_some(self.next_fresh))
+        self.returned.first().copied().or((self.next_fresh < self.loads).then_some(self.next_fresh))
     }
 
     fn take_waiting(&mut self, task: u32) {
@@ -302,12 +299,8 @@
             }
         }
         for (uid, chunks) in &r.done {
-            if r.jobs
-                .get(uid)
-                .is_some_and(|j| j.value.stage != Stage::Live)
-            {
-                b.garbage
-                    .extend(chunks.iter().map(|(n, d)| (done_key(uid, *n), d.stamp)));
+            if r.jobs.get(uid).is_some_and(|j| j.value.stage != Stage::Live) {
+                b.garbage.extend(chunks.iter().map(|(n, d)| (done_key(uid, *n), d.stamp)));
             }
         }
         b
@@ -355,9 +348,7 @@
                 }
             }
         }
-        let last = (0..job.loads)
-            .rev()
-            .find(|t| job.done.get(*t) || job.placed.contains_key(t));
+        let last = (0..job.loads).rev().find(|t| job.done.get(*t) || job.placed.contains_key(t));
         job.next_fresh = last.map_or(0, |t| t + 1);
         for t in 0..job.next_fresh {
             if !job.done.get(t) && !job.placed.contains_key(&t) {
@@ -411,10 +402,7 @@
             let Some(m) = self.machines.get_mut(&machine) else {
                 continue;
             };
-            if m.placements
-                .get(&id)
-                .is_some_and(|p| p.phase == Phase::Proposed)
-            {
+            if m.placements.get(&id).is_some_and(|p| p.phase == Phase::Proposed) {
                 // Never ordered and, if its commit fails, never stored. If the commit is
                 // still under way its outcome is awaited: the placement is then halted.
                 if let Some(p) = m.placements.get_mut(&id) {
@@ -551,9 +539,6 @@
 
     /// Whether a job's tasks end by themselves.
     pub fn is_standing(&self, uid: &str) -> bool {
-        self.jobs
-            .get(uid)
-            .and_then(|j| j.spec.as_ref())
-            .is_some_and(|s| s.shape == Shape::Standing)
+        self.jobs.get(uid).and_then(|j| j.spec.as_ref()).is_some_and(|s| s.shape == Shape::Standing)
     }
 }
--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -13,12 +13,7 @@
     /// A full bucket.
     pub fn new(per_s: f64, now: u64) -> Bucket {
         let burst = per_s.max(1.0);
-        Bucket {
-            per_s,
-            burst,
-            tokens: burst,
-            at: now,
-        }
+        Bucket { per_s, burst, tokens: burst, at: now }
     }
 
     /// Changes the rate from now on.
@@ -64,10 +59,7 @@
         for ms in 0..2_000 {
             given += u32::from(b.take(1.0, 0.0, ms));
         }
-        assert!(
-            (29..=31).contains(&given),
-            "burst of 10 and 10 a second: {given}"
-        );
+        assert!((29..=31).contains(&given), "burst of 10 and 10 a second: {given}");
         assert!(!b.take(1.0, 5.0, 2_000), "the reserve is kept");
     }
 }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -145,9 +145,7 @@
 impl Bitmap {
     /// Whether the task is in the set.
     pub fn get(&self, i: u32) -> bool {
-        self.words
-            .get(i as usize / 64)
-            .is_some_and(|w| w >> (i % 64) & 1 == 1)
+        self.words.get(i as usize / 64).is_some_and(|w| w >> (i % 64) & 1 == 1)
     }
 
     /// Adds a task; false if it was there.
@@ -186,9 +184,7 @@
             return;
         }
         for (i, at) in (0..text.len()).step_by(16).take(per).enumerate() {
-            let Some(word) = text
-                .get(at..at + 16)
-                .and_then(|t| u64::from_str_radix(t, 16).ok())
+            let Some(word) = text.get(at..at + 16).and_then(|t| u64::from_str_radix(t, 16).ok())
             else {
                 return;
             };
@@ -224,10 +220,7 @@
     #[test]
     fn keys_are_taken_apart_as_they_are_made() {
         assert_eq!(parse_key(&job_key("job-1")), Some(Key::Job("job-1")));
-        assert_eq!(
-            parse_key(&done_key("job-1", 3)),
-            Some(Key::Done("job-1", 3))
-        );
+        assert_eq!(parse_key(&done_key("job-1", 3)), Some(Key::Done("job-1", 3)));
         assert_eq!(parse_key(&place_key("n-1")), Some(Key::Place("n-1")));
         assert_eq!(parse_key("mg/new/thing"), None);
     }
--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -104,10 +104,9 @@
         }
         match parse_key(key) {
             Some(Key::Place(m)) => same(self.places.get(m).map(|s| &s.value), data),
-            Some(Key::Done(u, n)) => same(
-                self.done.get(u).and_then(|d| d.get(&n)).map(|s| &s.value),
-                data,
-            ),
+            Some(Key::Done(u, n)) => {
+                same(self.done.get(u).and_then(|d| d.get(&n)).map(|s| &s.value), data)
+            }
             Some(Key::Job(u)) => {
                 let rec: Option<JobRec> = serde_json::from_str(data.get()).ok();
                 self.jobs.get(u).map(|s| s.value.stage) == rec.map(|r| r.stage)
@@ -138,10 +137,7 @@
             }
             Key::Done(uid, n) => {
                 let value = value(key, data)?;
-                self.done
-                    .entry(uid.into())
-                    .or_default()
-                    .insert(n, Stamped { stamp, value });
+                self.done.entry(uid.into()).or_default().insert(n, Stamped { stamp, value });
             }
             Key::Place(m) => {
                 let value: PlaceRec = value(key, data)?;
@@ -226,30 +222,16 @@
     use crate::protocol::state::raw;
 
     fn put(key: String, rec: &PlaceRec, stamp: u64) -> Event {
-        Event {
-            write: Some(key),
-            remove: None,
-            data: Some(raw(rec)),
-            stamp,
-        }
+        Event { write: Some(key), remove: None, data: Some(raw(rec)), stamp }
     }
 
     #[test]
     fn an_older_answer_that_comes_late_changes_nothing() {
         let mut r = Replica::default();
-        let one = PlaceRec {
-            tasks: vec![("job-1".into(), 0, 7)],
-            kits: vec![],
-        };
+        let one = PlaceRec { tasks: vec![("job-1".into(), 0, 7)], kits: vec![] };
         let none = PlaceRec::default();
-        let new = Changes {
-            ledger_rev: 9,
-            events: vec![put(place_key("n-1"), &none, 8)],
-        };
-        let old = Changes {
-            ledger_rev: 5,
-            events: vec![put(place_key("n-1"), &one, 4)],
-        };
+        let new = Changes { ledger_rev: 9, events: vec![put(place_key("n-1"), &none, 8)] };
+        let old = Changes { ledger_rev: 5, events: vec![put(place_key("n-1"), &one, 4)] };
         r.apply(&new);
         r.apply(&old);
         assert_eq!(r.places["n-1"].value, none);
@@ -259,25 +241,13 @@
     #[test]
     fn a_key_removed_ahead_of_the_watch_does_not_come_back() {
         let mut r = Replica::default();
-        let one = PlaceRec {
-            tasks: vec![("job-1".into(), 0, 7)],
-            kits: vec![],
-        };
+        let one = PlaceRec { tasks: vec![("job-1".into(), 0, 7)], kits: vec![] };
         r.write(&place_key("n-1"), &raw(&one), 4);
         r.remove(&place_key("n-1"), 6);
-        r.apply(&Changes {
-            ledger_rev: 5,
-            events: vec![put(place_key("n-1"), &one, 4)],
-        });
-        assert!(
-            r.places.is_empty(),
-            "the write at 4 is older than the removal at 6"
-        );
+        r.apply(&Changes { ledger_rev: 5, events: vec![put(place_key("n-1"), &one, 4)] });
+        assert!(r.places.is_empty(), "the write at 4 is older than the removal at 6");
         assert_eq!(r.placed("job-1"), 0);
-        r.apply(&Changes {
-            ledger_rev: 8,
-            events: vec![put(place_key("n-1"), &one, 8)],
-        });
+        r.apply(&Changes { ledger_rev: 8, events: vec![put(place_key("n-1"), &one, 8)] });
         assert_eq!(r.places.len(), 1, "a later write counts");
     }
 }
--- a/src/bookkeeping/reservation.rs
+++ b/src/bookkeeping/reservation.rs
@@ -43,12 +43,7 @@
 
     /// The times at which room may come up: now and every end, in order.
     pub fn starts(&self, now: u64) -> Vec<u64> {
-        let mut v: Vec<u64> = self
-            .buckets
-            .iter()
-            .map(|b| b.end)
-            .filter(|t| *t > now)
-            .collect();
+        let mut v: Vec<u64> = self.buckets.iter().map(|b| b.end).filter(|t| *t > now).collect();
         v.push(now);
         v.sort_unstable();
         v.dedup();
@@ -61,23 +56,15 @@
             return 0.0;
         }
         let end = start + length;
-        let mut cuts: Vec<u64> = self
-            .buckets
-            .iter()
-            .map(|b| b.end)
-            .filter(|t| *t > start && *t < end)
-            .collect();
+        let mut cuts: Vec<u64> =
+            self.buckets.iter().map(|b| b.end).filter(|t| *t > start && *t < end).collect();
         cuts.push(end);
         cuts.sort_unstable();
         let mut from = start;
         let mut total = 0.0;
         for to in cuts {
-            let others: f64 = self
-                .buckets
-                .iter()
-                .filter(|b| b.end > from)
-                .map(|b| b.bandwidth)
-                .sum();
+            let others: f64 =
+                self.buckets.iter().filter(|b| b.end > from).map(|b| b.bandwidth).sum();
             let demand = others + bandwidth;
             let penalty = demand.max(self.capacity) / self.capacity - 1.0;
             total += (to - from) as f64 * penalty;
@@ -94,16 +81,8 @@
     #[test]
     fn penalized_time_sums_the_saturated_windows() {
         let need = Resources::new(1.0, 0.0, 0.0);
-        let b = |end, bandwidth| Bucket {
-            end,
-            need,
-            bandwidth,
-        };
-        let mut row = Row {
-            free: Resources::new(8.0, 0.0, 0.0),
-            capacity: 4.0,
-            buckets: vec![],
-        };
+        let b = |end, bandwidth| Bucket { end, need, bandwidth };
+        let mut row = Row { free: Resources::new(8.0, 0.0, 0.0), capacity: 4.0, buckets: vec![] };
         row.add(b(1_000, 3.0));
         row.add(b(3_000, 2.0));
         // Until 1 s: 3 + 2 + 1 over 4; until 3 s: 2 + 1 fits.
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -46,17 +46,8 @@
             return;
         }
         self.election.busy = true;
-        let body = serde_json::to_vec(&NewHold {
-            life_ms: c::LEADER_LIFE_MS,
-        })
-        .unwrap_or_default();
-        self.state_call(
-            "POST",
-            "/holds".into(),
-            body,
-            c::STATE_CALL_MS,
-            Purpose::Hold,
-        );
+        let body = serde_json::to_vec(&NewHold { life_ms: c::LEADER_LIFE_MS }).unwrap_or_default();
+        self.state_call("POST", "/holds".into(), body, c::STATE_CALL_MS, Purpose::Hold);
     }
 
     pub(super) fn hold_given(&mut self, reply: Option<(u16, Vec<u8>)>) {
@@ -74,38 +65,21 @@
             Some(_) => return,
         };
         let term = self.replica.term().max(self.term_heard) + 1;
-        let rec = LeaderRec {
-            label: self.cfg.label.clone(),
-            incarnation: self.incarnation,
-            term,
-        };
+        let rec = LeaderRec { label: self.cfg.label.clone(), incarnation: self.incarnation, term };
         let commit = Commit {
             conditions: vec![
-                If {
-                    key: leader_key(),
-                    stamp: leader_stamp,
-                },
-                If {
-                    key: term_key(),
-                    stamp: self.replica.stamp(&term_key()),
-                },
+                If { key: leader_key(), stamp: leader_stamp },
+                If { key: term_key(), stamp: self.replica.stamp(&term_key()) },
             ],
             writes: vec![
-                Write::Put {
-                    write: leader_key(),
-                    data: raw(&rec),
-                    tenancy: Some(hold.tenancy),
-                },
+                Write::Put { write: leader_key(), data: raw(&rec), tenancy: Some(hold.tenancy) },
                 Write::put(term_key(), &TermRec { term }),
             ],
         };
         self.election.busy = true;
         self.writes.take(2.0, f64::MIN, self.now.mono);
         let body = serde_json::to_vec(&commit).unwrap_or_default();
-        let purpose = Purpose::Elect {
-            tenancy: hold.tenancy,
-            term,
-        };
+        let purpose = Purpose::Elect { tenancy: hold.tenancy, term };
         self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
     }
 
@@ -147,13 +121,7 @@
         let tenancy = l.tenancy;
         let path = format!("/holds/{tenancy}/renew");
         let purpose = Purpose::Renew { tenancy, sent: now };
-        self.state_call(
-            "POST",
-            path,
-            b"{}".to_vec(),
-            c::LEADER_RENEW_CALL_MS,
-            purpose,
-        );
+        self.state_call("POST", path, b"{}".to_vec(), c::LEADER_RENEW_CALL_MS, purpose);
     }
 
     pub(super) fn renewed(&mut self, tenancy: u64, _sent: u64, reply: Option<(u16, Vec<u8>)>) {
@@ -186,8 +154,7 @@
         log::info!("no longer leads in term {}: {why}", l.term);
         let n = self.cfg.controllers() as f64;
         let share = (1.0 - c::WRITE_SHARE_LEADER) / n;
-        self.writes
-            .set_rate(self.cfg.params.state.write_rps * share, self.now.mono);
+        self.writes.set_rate(self.cfg.params.state.write_rps * share, self.now.mono);
         let rps = self.cfg.params.cloud.rps * c::STATE_RPS_SHARE / n;
         self.cloud.set_rate(rps, self.now.mono);
         for held in l.held {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -58,12 +58,7 @@
 
 impl Fleet {
     pub(super) fn new(now: u64) -> Fleet {
-        Fleet {
-            list_at: now,
-            look_at: now,
-            cloud_at: now,
-            ..Fleet::default()
-        }
+        Fleet { list_at: now, look_at: now, cloud_at: now, ..Fleet::default() }
     }
 
     pub(super) fn is_gone(&self, name: &str) -> bool {
@@ -90,11 +85,7 @@
             }
             // A slot serves short tasks one after the other.
             let run_s = job.run_ms as f64 / c::MS_PER_S;
-            let per_task = if job.standing {
-                1.0
-            } else {
-                (run_s / c::DRAIN_TARGET_S).min(1.0)
-            };
+            let per_task = if job.standing { 1.0 } else { (run_s / c::DRAIN_TARGET_S).min(1.0) };
             self.unmet.push(Unmet {
                 need: job.need,
                 spot_ok: job.spot_ok,
@@ -102,12 +93,7 @@
                 skus: job.skus.clone(),
                 yard: job.zone.map(|z| view.zones[z].clone()),
                 slots: left as f64 * per_task,
-                in_yard: view
-                    .zones
-                    .iter()
-                    .cloned()
-                    .zip(job.in_zone.iter().copied())
-                    .collect(),
+                in_yard: view.zones.iter().cloned().zip(job.in_zone.iter().copied()).collect(),
                 zone_cap: job.zone_cap,
             });
         }
@@ -117,16 +103,9 @@
 impl Controller {
     pub(super) fn catalog_due(&mut self) {
         let now = self.now.mono;
-        let period = if self.leader.is_some() {
-            c::CATALOG_PERIOD_MS
-        } else {
-            c::CATALOG_PERIOD_MS * 10
-        };
-        let wait = if self.catalog.is_some() {
-            period
-        } else {
-            c::CLOUD_RETRY_MS
-        };
+        let period =
+            if self.leader.is_some() { c::CATALOG_PERIOD_MS } else { c::CATALOG_PERIOD_MS * 10 };
+        let wait = if self.catalog.is_some() { period } else { c::CLOUD_RETRY_MS };
         if self.catalog_asked || self.catalog_at.is_some_and(|t| now < t + wait) {
             return;
         }
@@ -165,14 +144,7 @@
             l.fleet.list_at = now + c::LIST_PERIOD_MS;
             let purpose = Purpose::Hosts { begun: now };
             let path = hosts_path(None, c::LIST_LIMIT);
-            self.call(
-                Service::Cloud,
-                "GET",
-                path,
-                vec![],
-                c::CLOUD_CALL_MS,
-                purpose,
-            );
+            self.call(Service::Cloud, "GET", path, vec![], c::CLOUD_CALL_MS, purpose);
         }
         let Some(l) = self.leader.as_mut() else {
             return;
@@ -210,14 +182,7 @@
             self.cloud.take(1.0, f64::MIN, now);
             let path = hosts_path(Some(&last), c::LIST_LIMIT);
             let purpose = Purpose::Hosts { begun };
-            return self.call(
-                Service::Cloud,
-                "GET",
-                path,
-                vec![],
-                c::CLOUD_CALL_MS,
-                purpose,
-            );
+            return self.call(Service::Cloud, "GET", path, vec![], c::CLOUD_CALL_MS, purpose);
         }
         l.fleet.listing = false;
         self.list_complete(begun);
@@ -242,9 +207,7 @@
             }
             let name: Name = h.uid.as_str().into();
             let new = !l.books.machines.contains_key(&name);
-            let m = l
-                .books
-                .machine_entry(&name, replica.stamp(&place_key(&name)), now);
+            let m = l.books.machine_entry(&name, replica.stamp(&place_key(&name)), now);
             if m.sku.is_empty() {
                 m.sku = h.build.clone();
                 m.yard = h.yard.clone();
@@ -308,9 +271,7 @@
         let Some(l) = self.leader.as_mut() else {
             return;
         };
-        l.books
-            .machines
-            .retain(|_, m| m.life != Life::Gone || !m.placements.is_empty() || m.dirty);
+        l.books.machines.retain(|_, m| m.life != Life::Gone || !m.placements.is_empty() || m.dirty);
     }
 
     // --- returning -----------------------------------------------------------------
@@ -327,9 +288,8 @@
         let spare = l.spare_slots(now, &catalog);
         let mut free_slots: f64 = 0.0;
         for m in l.books.machines.values().filter(|m| usable(m) && !m.spot) {
-            free_slots += spare
-                .as_ref()
-                .map_or(0.0, |(need, _)| l.books.free(m).times(need) as f64);
+            free_slots +=
+                spare.as_ref().map_or(0.0, |(need, _)| l.books.free(m).times(need) as f64);
         }
         let idle_ms = (op.idle_return_s * c::MS_PER_S) as u64;
         let mut names = Vec::new();
@@ -390,19 +350,10 @@
             }
         }
         log::info!("returns {}", names.join(", "));
-        let body = Names {
-            steads: names.iter().map(|n| n.to_string()).collect(),
-        };
+        let body = Names { steads: names.iter().map(|n| n.to_string()).collect() };
         let body = serde_json::to_vec(&body).unwrap_or_default();
         let purpose = Purpose::Delete(names);
-        self.call(
-            Service::Cloud,
-            "POST",
-            "/hosts/delete".into(),
-            body,
-            c::CLOUD_CALL_MS,
-            purpose,
-        );
+        self.call(Service::Cloud, "POST", "/hosts/delete".into(), body, c::CLOUD_CALL_MS, purpose);
     }
 
     pub(super) fn delete_answered(&mut self, names: Vec<Name>, reply: Option<(u16, Vec<u8>)>) {
@@ -417,17 +368,8 @@
         };
         for n in names {
             // Perhaps carried out, perhaps later: asked for again.
-            if let Some(m) = l
-                .books
-                .machines
-                .get_mut(&n)
-                .filter(|m| m.life == Life::Deleting)
-            {
-                m.life = if m.up_at.is_some() {
-                    Life::Up
-                } else {
-                    Life::Booting
-                };
+            if let Some(m) = l.books.machines.get_mut(&n).filter(|m| m.life == Life::Deleting) {
+                m.life = if m.up_at.is_some() { Life::Up } else { Life::Booting };
                 m.draining = true;
             }
         }
@@ -455,12 +397,7 @@
             spot: bool,
         }
         let mut coming: Vec<Coming> = Vec::new();
-        for m in l
-            .books
-            .machines
-            .values()
-            .filter(|m| m.life == Life::Booting)
-        {
+        for m in l.books.machines.values().filter(|m| m.life == Life::Booting) {
             let Some(b) = catalog.builds.iter().position(|b| b.sku == m.sku) else {
                 continue;
             };
@@ -478,12 +415,7 @@
         for r in &l.fleet.rentals {
             for _ in 0..r.number {
                 let total = total(&catalog.builds[r.build]);
-                coming.push(Coming {
-                    total,
-                    build: r.build,
-                    yard: r.yard.clone(),
-                    spot: r.spot,
-                });
+                coming.push(Coming { total, build: r.build, yard: r.yard.clone(), spot: r.spot });
             }
         }
         let mut unmet = l.fleet.unmet.clone();
@@ -577,12 +509,7 @@
                 let Some((_, _, kind)) = best else { break };
                 *wanted.entry(kind.clone()).or_default() += 1;
                 let (build, yard, spot) = kind;
-                coming.push(Coming {
-                    total: total(&catalog.builds[build]),
-                    build,
-                    yard,
-                    spot,
-                });
+                coming.push(Coming { total: total(&catalog.builds[build]), build, yard, spot });
             }
         }
         let mut rentals: Vec<Rental> = Vec::new();
@@ -593,13 +520,7 @@
                 break;
             }
             let hire = format!("mg-{}", l.unique());
-            rentals.push(Rental {
-                hire,
-                build,
-                yard,
-                spot,
-                number: number.min(c::RENT_MAX),
-            });
+            rentals.push(Rental { hire, build, yard, spot, number: number.min(c::RENT_MAX) });
         }
         for r in rentals {
             log::info!(
@@ -691,11 +612,7 @@
             }
             f.seen_arrival = *stamp;
         }
-        while f
-            .arrivals
-            .front()
-            .is_some_and(|(t, _)| now > t + c::ARRIVAL_WINDOW_MS)
-        {
+        while f.arrivals.front().is_some_and(|(t, _)| now > t + c::ARRIVAL_WINDOW_MS) {
             f.arrivals.pop_front();
         }
         let need = self
@@ -709,10 +626,7 @@
             (now - self.began).clamp(c::ARRIVAL_WINDOW_MS / 4, c::ARRIVAL_WINDOW_MS) as f64;
         let tasks: u32 = self.fleet.arrivals.iter().map(|(_, n)| n).sum();
         let ready = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max) * c::MS_PER_S;
-        Some((
-            need,
-            (f64::from(tasks) / window * ready).ceil() + c::SPARE_SERVICE_SLOTS,
-        ))
+        Some((need, (f64::from(tasks) / window * ready).ceil() + c::SPARE_SERVICE_SLOTS))
     }
 }
 
@@ -725,10 +639,6 @@
 }
 
 fn ready_ms(catalog: &Catalog, sku: &str) -> u64 {
-    let s = catalog
-        .builds
-        .iter()
-        .find(|b| b.sku == sku)
-        .map_or(60.0, |b| b.ready_s);
+    let s = catalog.builds.iter().find(|b| b.sku == sku).map_or(60.0, |b| b.ready_s);
     (s * c::MS_PER_S) as u64
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -251,9 +251,8 @@
         let now = self.now.mono;
         let Some(l) = &self.leader else { return };
         let quiet = now > l.heard_at + c::LEADER_DEAF_MS && now > l.began + c::LEADER_DEAF_MS;
-        let peers_hear = self
-            .fresh_gossip()
-            .any(|g| g.workers_seen > 0 && g.served_ago_ms.is_some());
+        let peers_hear =
+            self.fresh_gossip().any(|g| g.workers_seen > 0 && g.served_ago_ms.is_some());
         if quiet && peers_hear {
             self.hand_over("no worker reports here, but to others they do");
         }
@@ -276,9 +275,8 @@
         l.plan_at = now + op.pass_period_ms;
         let view = View::build(l, &cfg, &op, &catalog, Clock { mono: now, wall });
         let plan = planner::plan(&view.snapshot);
-        l.reservation = plan
-            .reservation
-            .map(|(j, m, _)| (view.jobs[j].clone(), view.machines[m].clone()));
+        l.reservation =
+            plan.reservation.map(|(j, m, _)| (view.jobs[j].clone(), view.machines[m].clone()));
         for (j, m) in &plan.places {
             let (uid, machine) = (view.jobs[*j].clone(), view.machines[*m].clone());
             let Some(task) = l.books.jobs.get(&uid).and_then(|j| j.next_waiting()) else {
@@ -315,11 +313,7 @@
             return;
         }
         let batch = now >= l.done_at;
-        let due = l
-            .books
-            .machines
-            .values()
-            .any(|m| m.urgent || (m.dirty && batch))
+        let due = l.books.machines.values().any(|m| m.urgent || (m.dirty && batch))
             || l.books.jobs.values().any(|j| j.complete())
             || (batch && (!l.books.garbage.is_empty() || !l.catalog_written));
         if due && self.served() {
@@ -344,10 +338,7 @@
         ifs.insert(leader_key(), l.stamp);
         let mut writes = Vec::new();
         let mut f = InFlight {
-            commit: Commit {
-                conditions: vec![],
-                writes: vec![],
-            },
+            commit: Commit { conditions: vec![], writes: vec![] },
             body: vec![],
             machines: vec![],
             chunks: vec![],
@@ -358,24 +349,14 @@
             reading: false,
             not_before: 0,
         };
-        let complete: Vec<Name> = l
-            .books
-            .jobs
-            .values()
-            .filter(|j| j.complete())
-            .map(|j| j.uid.clone())
-            .collect();
+        let complete: Vec<Name> =
+            l.books.jobs.values().filter(|j| j.complete()).map(|j| j.uid.clone()).collect();
         for uid in complete {
             if writes.len() >= max_ops {
                 break;
             }
             let job = &l.books.jobs[&uid];
-            let rec = JobRec {
-                at: job.at_wall,
-                stage: Stage::Done,
-                loads: job.loads,
-                spec: None,
-            };
+            let rec = JobRec { at: job.at_wall, stage: Stage::Done, loads: job.loads, spec: None };
             ifs.insert(job_key(&uid), job.stamp);
             writes.push(Write::put(job_key(&uid), &rec));
             f.finishes.push(uid);
@@ -416,14 +397,9 @@
                     break 'machines;
                 }
                 let job = &l.books.jobs[&uid];
-                let rec = DoneRec {
-                    bits: job.done.chunk_text(chunk),
-                };
+                let rec = DoneRec { bits: job.done.chunk_text(chunk) };
                 let key = done_key(&uid, chunk);
-                ifs.insert(
-                    key.clone(),
-                    job.chunk_stamps.get(&chunk).copied().unwrap_or(0),
-                );
+                ifs.insert(key.clone(), job.chunk_stamps.get(&chunk).copied().unwrap_or(0));
                 ifs.insert(job_key(&uid), job.stamp);
                 writes.push(Write::put(key, &rec));
                 f.chunks.push((uid, chunk));
@@ -439,11 +415,7 @@
             }
             ifs.extend(jobs);
             ifs.insert(place_key(&name), m.key_stamp);
-            writes.push(Write::Put {
-                write: place_key(&name),
-                data,
-                tenancy: None,
-            });
+            writes.push(Write::Put { write: place_key(&name), data, tenancy: None });
             let ended = m
                 .placements
                 .iter()
@@ -456,20 +428,12 @@
             if let Some(catalog) = &self.catalog {
                 let known = self.replica.catalog.as_ref();
                 let alike = known.is_some_and(|k| {
-                    k.value
-                        .builds
-                        .iter()
-                        .map(|b| &b.sku)
-                        .eq(catalog.builds.iter().map(|b| &b.sku))
+                    k.value.builds.iter().map(|b| &b.sku).eq(catalog.builds.iter().map(|b| &b.sku))
                 });
                 let data = raw(&**catalog);
                 if !alike && data.get().len() as f64 <= cap {
                     ifs.insert(catalog_key(), self.replica.stamp(&catalog_key()));
-                    writes.push(Write::Put {
-                        write: catalog_key(),
-                        data,
-                        tenancy: None,
-                    });
+                    writes.push(Write::Put { write: catalog_key(), data, tenancy: None });
                 }
                 l.catalog_written = true;
             }
@@ -479,9 +443,7 @@
                 break;
             };
             ifs.insert(key.clone(), stamp);
-            writes.push(Write::Remove {
-                remove: key.clone(),
-            });
+            writes.push(Write::Remove { remove: key.clone() });
             f.garbage.push((key, stamp));
         }
         if writes.is_empty() {
@@ -498,10 +460,7 @@
                 j.dirty_chunks.remove(chunk);
             }
         }
-        let conditions = ifs
-            .into_iter()
-            .map(|(key, stamp)| If { key, stamp })
-            .collect();
+        let conditions = ifs.into_iter().map(|(key, stamp)| If { key, stamp }).collect();
         f.commit = Commit { conditions, writes };
         f.body = serde_json::to_vec(&f.commit).unwrap_or_default();
         l.flight = Some(f);
@@ -520,13 +479,7 @@
         f.sent = true;
         let body = f.body.clone();
         self.metrics.state_writes += n as u64;
-        self.state_call(
-            "POST",
-            "/commit".into(),
-            body,
-            c::STATE_CALL_MS,
-            Purpose::LeaderCommit,
-        );
+        self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, Purpose::LeaderCommit);
     }
 
     pub(super) fn leader_committed(&mut self, reply: Option<(u16, Vec<u8>)>) {
@@ -542,9 +495,8 @@
                 Err(_) => f.unclear = true,
             },
             Some((409, body)) => {
-                let failed = serde_json::from_slice::<Conflict>(&body)
-                    .map(|c| c.failed)
-                    .unwrap_or_default();
+                let failed =
+                    serde_json::from_slice::<Conflict>(&body).map(|c| c.failed).unwrap_or_default();
                 log::debug!("commit refused: {failed:?}");
                 if !f.unclear && failed.contains(&leader_key()) {
                     return self.step_down("the leader key has changed");
@@ -560,10 +512,7 @@
                 }
             }
             Some((status, body)) => {
-                log::error!(
-                    "commit answered {status}: {}",
-                    String::from_utf8_lossy(&body)
-                );
+                log::error!("commit answered {status}: {}", String::from_utf8_lossy(&body));
                 f.not_before = now + c::STATE_RETRY_MS;
                 if !f.unclear {
                     self.flight_dropped();
@@ -691,12 +640,7 @@
         let now = clock.mono;
         let books = &l.books;
         let mut zones: Vec<&str> = Vec::new();
-        for z in catalog
-            .builds
-            .iter()
-            .flat_map(|b| b.yards.iter())
-            .chain(&cfg.params.zones)
-        {
+        for z in catalog.builds.iter().flat_map(|b| b.yards.iter()).chain(&cfg.params.zones) {
             if !zones.contains(&z.as_str()) {
                 zones.push(z);
             }
@@ -735,11 +679,8 @@
                 continue;
             }
             let build = &catalog.builds[sku];
-            let per_gb = if build.pull_gb_per_s > 0.0 {
-                c::MS_PER_S / build.pull_gb_per_s
-            } else {
-                0.0
-            };
+            let per_gb =
+                if build.pull_gb_per_s > 0.0 { c::MS_PER_S / build.pull_gb_per_s } else { 0.0 };
             let mut held: Vec<(usize, u64)> = m.kits.iter().map(|(k, _)| (kit_of(k), 0)).collect();
             let mut running = Vec::new();
             let mut handles = Vec::new();
@@ -768,9 +709,7 @@
                 } else if standing {
                     now + (c::STANDING_RUN_S * c::MS_PER_S) as u64
                 } else {
-                    let begun = p
-                        .running_since
-                        .unwrap_or_else(|| (p.placed_at + fetch).max(now));
+                    let begun = p.running_since.unwrap_or_else(|| (p.placed_at + fetch).max(now));
                     let end = begun + run;
                     if end > now {
                         end
@@ -812,11 +751,7 @@
             };
             let Some(spec) = &job.spec else { continue };
             // A job that fails everywhere is tried one task at a time.
-            let waiting = if job.suspect() {
-                job.waiting().min(1)
-            } else {
-                job.waiting()
-            };
+            let waiting = if job.suspect() { job.waiting().min(1) } else { job.waiting() };
             let Some(team) = team_of(&spec.crew) else {
                 continue;
             };
@@ -840,11 +775,7 @@
             let skus = catalog
                 .builds
                 .iter()
-                .map(|b| {
-                    spec.builds
-                        .as_ref()
-                        .is_none_or(|list| list.contains(&b.sku))
-                })
+                .map(|b| spec.builds.as_ref().is_none_or(|list| list.contains(&b.sku)))
                 .collect();
             let zone = match &spec.yard {
                 Some(y) => match zone_of(y) {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -51,24 +51,11 @@
 #[derive(Debug)]
 pub enum Command {
     /// A request from users, workers or health checks.
-    Public {
-        conn: ConnId,
-        method: String,
-        path: String,
-        body: Vec<u8>,
-    },
+    Public { conn: ConnId, method: String, path: String, body: Vec<u8> },
     /// A request from another controller.
-    Peer {
-        conn: ConnId,
-        method: String,
-        path: String,
-        body: Vec<u8>,
-    },
+    Peer { conn: ConnId, method: String, path: String, body: Vec<u8> },
     /// The answer to a call; `None`: no answer, it may have been carried out or may be later.
-    Reply {
-        call: CallId,
-        reply: Option<(u16, Vec<u8>)>,
-    },
+    Reply { call: CallId, reply: Option<(u16, Vec<u8>)> },
 }
 
 /// What goes out.
@@ -104,41 +91,18 @@
 enum Purpose {
     List,
     Watch,
-    Fresh {
-        begun: u64,
-    },
+    Fresh { begun: u64 },
     Hold,
-    Elect {
-        tenancy: u64,
-        term: u64,
-    },
-    Renew {
-        tenancy: u64,
-        sent: u64,
-    },
+    Elect { tenancy: u64, term: u64 },
+    Renew { tenancy: u64, sent: u64 },
     StepDown,
     LeaderCommit,
-    Submit {
-        asker: Asker,
-        spec: Rc<Spec>,
-        at: u64,
-        commit: Commit,
-    },
-    Withdraw {
-        asker: Asker,
-        uid: String,
-        commit: Commit,
-    },
-    Gossip {
-        peer: usize,
-    },
-    Relay {
-        asker: Asker,
-    },
+    Submit { asker: Asker, spec: Rc<Spec>, at: u64, commit: Commit },
+    Withdraw { asker: Asker, uid: String, commit: Commit },
+    Gossip { peer: usize },
+    Relay { asker: Asker },
     Catalog,
-    Hosts {
-        begun: u64,
-    },
+    Hosts { begun: u64 },
     Rent(fleet::Rental),
     Delete(Vec<crate::bookkeeping::records::Name>),
 }
@@ -208,11 +172,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let n = cfg.controllers() as f64;
         let st = &cfg.params.state;
-        let peers = cfg
-            .peers
-            .iter()
-            .map(|_| peers::PeerView::default())
-            .collect();
+        let peers = cfg.peers.iter().map(|_| peers::PeerView::default()).collect();
         let share = (1.0 - c::WRITE_SHARE_LEADER) / n;
         Controller {
             incarnation: rng.random(),
@@ -264,39 +224,24 @@
 
     /// When the next batch is due at the latest.
     pub fn next_wake(&self) -> u64 {
-        let soon = if self.leader.as_ref().is_some_and(|l| l.hurry()) {
-            10
-        } else {
-            c::POLL_MAX_MS
-        };
+        let soon =
+            if self.leader.as_ref().is_some_and(|l| l.hurry()) { 10 } else { c::POLL_MAX_MS };
         self.now.mono + soon
     }
 
     fn command(&mut self, command: Command) {
         match command {
-            Command::Public {
-                conn,
-                method,
-                path,
-                body,
-            } => self.public(conn, &method, &path, body),
-            Command::Peer {
-                conn,
-                method,
-                path,
-                body,
-            } => self.peer_request(conn, &method, &path, &body),
+            Command::Public { conn, method, path, body } => self.public(conn, &method, &path, body),
+            Command::Peer { conn, method, path, body } => {
+                self.peer_request(conn, &method, &path, &body)
+            }
             Command::Reply { call, reply } => self.reply(call, reply),
         }
     }
 
     fn public(&mut self, conn: ConnId, method: &str, path: &str, body: Vec<u8>) {
         let path = path.split('?').next().unwrap_or("");
-        let asker = Asker {
-            conn,
-            relayed: false,
-            since: self.now.mono,
-        };
+        let asker = Asker { conn, relayed: false, since: self.now.mono };
         match (method, path) {
             ("POST", "/checkin") => self.checkin(conn, &body),
             ("GET", "/up") => self.up(conn),
@@ -308,11 +253,7 @@
 
     fn shed(&mut self, command: Command) {
         if let Command::Public { conn, .. } = command {
-            let asker = Asker {
-                conn,
-                relayed: false,
-                since: self.now.mono,
-            };
+            let asker = Asker { conn, relayed: false, since: self.now.mono };
             self.refuse(asker, 503, "too much to do", Some(c::RETRY_AFTER_BUSY_S));
         }
     }
@@ -333,12 +274,9 @@
             Purpose::Renew { tenancy, sent } => self.renewed(tenancy, sent, reply),
             Purpose::StepDown => {}
             Purpose::LeaderCommit => self.leader_committed(reply),
-            Purpose::Submit {
-                asker,
-                spec,
-                at,
-                commit,
-            } => self.submitted(asker, spec, at, commit, reply),
+            Purpose::Submit { asker, spec, at, commit } => {
+                self.submitted(asker, spec, at, commit, reply)
+            }
             Purpose::Withdraw { asker, uid, commit } => self.withdrawn(asker, uid, commit, reply),
             Purpose::Gossip { peer } => self.gossip_answered(peer, reply),
             Purpose::Relay { asker } => self.relay_answered(asker, reply),
@@ -369,23 +307,11 @@
         let id = self.next_call;
         self.next_call += 1;
         self.calls.insert(id, purpose);
-        self.out.push(Effect::Call {
-            id,
-            service,
-            method,
-            path,
-            body,
-            timeout_ms,
-        });
+        self.out.push(Effect::Call { id, service, method, path, body, timeout_ms });
     }
 
     fn respond(&mut self, conn: ConnId, status: u16, retry_after_s: Option<u64>, body: Vec<u8>) {
-        self.out.push(Effect::Respond {
-            conn,
-            status,
-            retry_after_s,
-            body,
-        });
+        self.out.push(Effect::Respond { conn, status, retry_after_s, body });
     }
 
     /// The term this controller leads in.
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -33,11 +33,8 @@
             } else {
                 self.sync.served_at.map(|t| now - t)
             },
-            workers_seen: self
-                .workers_seen
-                .values()
-                .filter(|t| now - **t <= seen_ms)
-                .count() as u32,
+            workers_seen: self.workers_seen.values().filter(|t| now - **t <= seen_ms).count()
+                as u32,
         }
     }
 
@@ -51,14 +48,7 @@
             self.peers[i].next_at = now + c::GOSSIP_MS;
             let body = encode(&self.gossip());
             let purpose = Purpose::Gossip { peer: i };
-            self.call(
-                Service::Peer(i),
-                "POST",
-                "/gossip".into(),
-                body,
-                c::GOSSIP_CALL_MS,
-                purpose,
-            );
+            self.call(Service::Peer(i), "POST", "/gossip".into(), body, c::GOSSIP_CALL_MS, purpose);
         }
     }
 
@@ -105,11 +95,7 @@
             }
             ("POST", "/relay") => match decode::<Relay>(body) {
                 Ok(r) if r.version == c::PEER_VERSION => {
-                    let asker = Asker {
-                        conn,
-                        relayed: true,
-                        since: self.now.mono,
-                    };
+                    let asker = Asker { conn, relayed: true, since: self.now.mono };
                     self.user_request(asker, &r.method, &r.path, &r.body);
                 }
                 _ => self.respond(conn, 400, None, vec![]),
@@ -147,20 +133,11 @@
         path: String,
         body: Vec<u8>,
     ) {
-        let peer = if asker.relayed {
-            None
-        } else {
-            self.best_peer()
-        };
+        let peer = if asker.relayed { None } else { self.best_peer() };
         let Some(peer) = peer else {
             return self.unavailable(asker);
         };
-        let m = Relay {
-            version: c::PEER_VERSION,
-            method: method.into(),
-            path,
-            body,
-        };
+        let m = Relay { version: c::PEER_VERSION, method: method.into(), path, body };
         let purpose = Purpose::Relay { asker };
         self.call(
             Service::Peer(peer),
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -152,11 +152,7 @@
                 buckets: Vec::new(),
             };
             for r in &m.running {
-                row.add(Bucket {
-                    end: r.end.max(s.now + 1),
-                    need: r.need,
-                    bandwidth: r.bandwidth,
-                });
+                row.add(Bucket { end: r.end.max(s.now + 1), need: r.need, bandwidth: r.bandwidth });
             }
             row
         })
@@ -242,10 +238,8 @@
             return false;
         }
         if job.together {
-            let elsewhere = self.in_zone[j]
-                .iter()
-                .enumerate()
-                .any(|(z, n)| z != machine.zone && *n > 0);
+            let elsewhere =
+                self.in_zone[j].iter().enumerate().any(|(z, n)| z != machine.zone && *n > 0);
             if elsewhere {
                 return false;
             }
@@ -306,13 +300,7 @@
         let factor = (run + fetch) as f64 / run as f64 + penalized / run as f64;
         let wait = (job.waited_ms + (start - now)) as f64;
         let slowdown = (wait + factor * run as f64) / run as f64;
-        Some(Allocation {
-            machine: m,
-            start,
-            length,
-            factor,
-            slowdown,
-        })
+        Some(Allocation { machine: m, start, length, factor, slowdown })
     }
 
     /// Order among places that are alike: spot first for who may use it (it is cheaper and
@@ -321,11 +309,7 @@
     fn taste(&self, j: usize, m: usize) -> (u32, bool, i64, usize) {
         let job = &self.s.jobs[j];
         let machine = &self.s.machines[m];
-        let zone = if job.standing {
-            self.in_zone[j][machine.zone]
-        } else {
-            0
-        };
+        let zone = if job.standing { self.in_zone[j][machine.zone] } else { 0 };
         let free = self.rows[m].free;
         let rest = free.gpu * 1_000 + free.cpu;
         (zone, job.spot_ok != machine.spot, rest, m)
@@ -337,9 +321,8 @@
             return None;
         }
         let now = self.s.now;
-        let mut machines: Vec<usize> = (0..self.s.machines.len())
-            .filter(|m| self.allowed(j, *m))
-            .collect();
+        let mut machines: Vec<usize> =
+            (0..self.s.machines.len()).filter(|m| self.allowed(j, *m)).collect();
         machines.sort_by_key(|m| self.taste(j, *m));
         // All allocations: at each machine now, else at each time that room comes up.
         let mut all: Vec<Allocation> = Vec::new();
@@ -412,10 +395,8 @@
         let mut choice: Vec<(usize, Option<Allocation>)> =
             rest.iter().map(|j| (*j, self.start_now(*j))).collect();
         while !self.full() {
-            let best = choice
-                .iter()
-                .filter_map(|(j, a)| a.map(|a| (*j, a)))
-                .min_by(|(_, a), (_, b)| {
+            let best =
+                choice.iter().filter_map(|(j, a)| a.map(|a| (*j, a))).min_by(|(_, a), (_, b)| {
                     a.factor.total_cmp(&b.factor).then(a.length.cmp(&b.length))
                 });
             let Some((j, a)) = best else { return };
@@ -452,12 +433,8 @@
                 free
             })
             .collect();
-        let mut stopped: Vec<Vec<bool>> = self
-            .s
-            .machines
-            .iter()
-            .map(|m| m.running.iter().map(|r| r.halting).collect())
-            .collect();
+        let mut stopped: Vec<Vec<bool>> =
+            self.s.machines.iter().map(|m| m.running.iter().map(|r| r.halting).collect()).collect();
         let mut used = self.used.clone();
         for &j in order {
             let job = &self.s.jobs[j];
@@ -537,22 +514,14 @@
                             && !self.s.teams[t].guarantee.eq(&Resources::default())
                             && !within_or_none(&self.used[t], &self.s.teams[t].guarantee)
                     });
-                (lower || borrowed) && (!r.standing || borrowed || lower)
+                lower || borrowed
             })
             .map(|(v, r)| {
                 let ran = r.ran_ms.unwrap_or(0);
                 // A young start would not count for its users; old work without saves is lost.
-                let shield = if ran < c::PREEMPT_SHIELD_MS {
-                    c::PREEMPT_SHIELD_MS
-                } else {
-                    0
-                };
+                let shield = if ran < c::PREEMPT_SHIELD_MS { c::PREEMPT_SHIELD_MS } else { 0 };
                 let lost = if r.saves { 0 } else { ran };
-                let standing = if r.standing {
-                    c::PREEMPT_SHIELD_MS * 4
-                } else {
-                    0
-                };
+                let standing = if r.standing { c::PREEMPT_SHIELD_MS * 4 } else { 0 };
                 (1_000 + shield + lost + standing, v)
             })
             .collect();
--- a/src/coordination/status.rs
+++ b/src/coordination/status.rs
@@ -27,13 +27,7 @@
     /// Leader, term, machines, waiting jobs with reasons, latencies in milliseconds.
     pub fn status_json(&self) -> Value {
         let now = self.now.mono;
-        let count = |s| {
-            self.replica
-                .jobs
-                .values()
-                .filter(|j| j.value.stage == s)
-                .count()
-        };
+        let count = |s| self.replica.jobs.values().filter(|j| j.value.stage == s).count();
         let mut v = json!({
             "controller": self.cfg.label,
             "version": env!("CARGO_PKG_VERSION"),
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -96,10 +96,7 @@
     pub(super) fn served(&self) -> bool {
         self.sync.loaded
             && !self.sync.refused
-            && self
-                .sync
-                .served_at
-                .is_some_and(|t| self.now.mono - t < c::STATE_LOST_MS)
+            && self.sync.served_at.is_some_and(|t| self.now.mono - t < c::STATE_LOST_MS)
     }
 
     pub(super) fn state_call(
@@ -123,11 +120,8 @@
         if !self.sync.loaded {
             if !self.sync.listing {
                 self.sync.listing = true;
-                let path = list_path(
-                    c::KEY_ROOT,
-                    self.sync.list_since.as_deref(),
-                    c::STATE_LIST_LIMIT,
-                );
+                let path =
+                    list_path(c::KEY_ROOT, self.sync.list_since.as_deref(), c::STATE_LIST_LIMIT);
                 self.state_call("GET", path, vec![], c::STATE_LIST_MS, Purpose::List);
             }
             return;
@@ -147,13 +141,7 @@
             self.sync.fresh_running = Some(std::mem::take(&mut self.sync.fresh_waiting));
             self.sync.fresh_begun = now;
             let path = changes_path(c::KEY_ROOT, self.replica.rev, 0);
-            self.state_call(
-                "GET",
-                path,
-                vec![],
-                c::STATE_CALL_MS,
-                Purpose::Fresh { begun: now },
-            );
+            self.state_call("GET", path, vec![], c::STATE_CALL_MS, Purpose::Fresh { begun: now });
         }
     }
 
@@ -198,17 +186,9 @@
             self.term_heard = self.term_heard.max(t);
         }
         if self.catalog.is_none() {
-            self.catalog = self
-                .replica
-                .catalog
-                .as_ref()
-                .map(|c| Rc::new(c.value.clone()));
+            self.catalog = self.replica.catalog.as_ref().map(|c| Rc::new(c.value.clone()));
         }
-        log::info!(
-            "loaded: {} jobs at revision {}",
-            self.replica.jobs.len(),
-            self.replica.rev
-        );
+        log::info!("loaded: {} jobs at revision {}", self.replica.jobs.len(), self.replica.rev);
         self.sync_due();
     }
 
@@ -277,12 +257,9 @@
         match w {
             Waiter::Poll { asker, uid } => self.answer_poll(asker, &uid),
             Waiter::Withdraw { asker, uid } => self.withdraw_known(asker, uid),
-            Waiter::Submit {
-                asker,
-                uid,
-                verdict,
-                spec,
-            } => self.submit_known(asker, uid, verdict, spec),
+            Waiter::Submit { asker, uid, verdict, spec } => {
+                self.submit_known(asker, uid, verdict, spec)
+            }
             Waiter::Leader => self.leader_fresh(),
         }
     }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -15,12 +15,7 @@
 impl Controller {
     fn answer(&mut self, asker: Asker, status: u16, retry_after_s: Option<u64>, body: Vec<u8>) {
         if asker.relayed {
-            let m = Relayed {
-                version: c::PEER_VERSION,
-                status,
-                retry_after_s,
-                body,
-            };
+            let m = Relayed { version: c::PEER_VERSION, status, retry_after_s, body };
             self.respond(asker.conn, 200, None, encode(&m));
         } else {
             self.respond(asker.conn, status, retry_after_s, body);
@@ -45,12 +40,7 @@
     }
 
     pub(super) fn unavailable(&mut self, asker: Asker) {
-        self.refuse(
-            asker,
-            503,
-            "the state service can't be reached",
-            Some(c::RETRY_AFTER_S),
-        );
+        self.refuse(asker, 503, "the state service can't be reached", Some(c::RETRY_AFTER_S));
     }
 
     pub(super) fn user_request(&mut self, asker: Asker, method: &str, path: &str, body: &[u8]) {
@@ -105,12 +95,7 @@
             if job.value.stage != Stage::Live {
                 return self.answer_known(asker, &uid);
             }
-            return self.want_fresh(Waiter::Submit {
-                asker,
-                uid,
-                verdict: None,
-                spec: None,
-            });
+            return self.want_fresh(Waiter::Submit { asker, uid, verdict: None, spec: None });
         }
         let verdict = match parse_submission(value) {
             Err(e) => Err((400, e)),
@@ -120,12 +105,7 @@
             Ok(spec) => self.commit_job(asker, spec),
             Err(verdict) => {
                 // It may have been accepted elsewhere a moment ago, with another body.
-                self.want_fresh(Waiter::Submit {
-                    asker,
-                    uid,
-                    verdict: Some(verdict),
-                    spec: None,
-                })
+                self.want_fresh(Waiter::Submit { asker, uid, verdict: Some(verdict), spec: None })
             }
         }
     }
@@ -140,20 +120,14 @@
         };
         let need = spec.need();
         let fits = catalog.builds.iter().any(|b| {
-            spec.builds
-                .as_ref()
-                .is_none_or(|list| list.contains(&b.sku))
+            spec.builds.as_ref().is_none_or(|list| list.contains(&b.sku))
                 && spec.yard.as_ref().is_none_or(|y| b.yards.contains(y))
                 && Resources::new(b.cores, b.gpus, b.ram_gb).fits(&need)
         });
         if !fits {
             return Err((422, "a task fits no allowed machine type".into()));
         }
-        let n = if spec.shape == Shape::Standing {
-            i64::from(spec.loads)
-        } else {
-            1
-        };
+        let n = if spec.shape == Shape::Standing { i64::from(spec.loads) } else { 1 };
         let all = need * n;
         let limit = Resources::new(team.cpus_max, team.gpus_max, 0.0);
         if (limit.cpu > 0 && all.cpu > limit.cpu) || (limit.gpu > 0 && all.gpu > limit.gpu) {
@@ -175,31 +149,14 @@
             return self.refuse(asker, 422, "the submission is too large to be kept", None);
         }
         if !self.writes.take(1.0, 0.0, self.now.mono) {
-            return self.refuse(
-                asker,
-                503,
-                "too many submissions",
-                Some(c::RETRY_AFTER_BUSY_S),
-            );
+            return self.refuse(asker, 503, "too many submissions", Some(c::RETRY_AFTER_BUSY_S));
         }
         let commit = Commit {
-            conditions: vec![If {
-                key: key.clone(),
-                stamp: 0,
-            }],
-            writes: vec![Write::Put {
-                write: key,
-                data,
-                tenancy: None,
-            }],
+            conditions: vec![If { key: key.clone(), stamp: 0 }],
+            writes: vec![Write::Put { write: key, data, tenancy: None }],
         };
         let body = serde_json::to_vec(&commit).unwrap_or_default();
-        let purpose = Purpose::Submit {
-            asker,
-            spec,
-            at: self.now.mono,
-            commit,
-        };
+        let purpose = Purpose::Submit { asker, spec, at: self.now.mono, commit };
         self.metrics.state_writes += 1;
         self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
     }
@@ -220,29 +177,12 @@
                 self.own_commit(&commit, done.ledger_rev);
                 self.metrics.accepted += 1;
                 let _ = self.metrics.submit_ms.record(self.now.mono - at);
-                log::debug!(
-                    "{}: accepted, {} tasks of {}",
-                    spec.uid,
-                    spec.loads,
-                    spec.duty
-                );
-                self.answer_json(
-                    asker,
-                    201,
-                    &Accepted {
-                        uid: &spec.uid,
-                        status: Status::Queued,
-                    },
-                );
+                log::debug!("{}: accepted, {} tasks of {}", spec.uid, spec.loads, spec.duty);
+                self.answer_json(asker, 201, &Accepted { uid: &spec.uid, status: Status::Queued });
             }
             Some((409, _)) => {
                 let uid = spec.uid.clone();
-                self.want_fresh(Waiter::Submit {
-                    asker,
-                    uid,
-                    verdict: None,
-                    spec: Some(spec),
-                });
+                self.want_fresh(Waiter::Submit { asker, uid, verdict: None, spec: Some(spec) });
             }
             Some((429, _)) => {
                 self.refuse(asker, 503, "too many submissions", Some(c::RETRY_AFTER_S))
@@ -317,19 +257,11 @@
         if !valid_uid(uid) {
             return self.refuse(asker, 404, "no such job", None);
         }
-        if self
-            .replica
-            .jobs
-            .get(uid)
-            .is_some_and(|j| j.value.stage != Stage::Live)
-        {
+        if self.replica.jobs.get(uid).is_some_and(|j| j.value.stage != Stage::Live) {
             return self.answer_poll(asker, uid);
         }
         if self.admit(asker, "GET", &format!("/v1/jobs/{uid}"), &[]) {
-            self.want_fresh(Waiter::Poll {
-                asker,
-                uid: uid.to_string(),
-            });
+            self.want_fresh(Waiter::Poll { asker, uid: uid.to_string() });
         }
     }
 
@@ -343,21 +275,9 @@
         let (done, running) = match status {
             Status::Done => (job.value.loads, 0),
             Status::Withdrawn => (self.replica.done_bitmap(uid).count(), 0),
-            _ => (
-                self.replica.done_bitmap(uid).count(),
-                self.replica.placed(uid),
-            ),
+            _ => (self.replica.done_bitmap(uid).count(), self.replica.placed(uid)),
         };
-        self.answer_json(
-            asker,
-            200,
-            &View {
-                uid,
-                status,
-                done,
-                running,
-            },
-        );
+        self.answer_json(asker, 200, &View { uid, status, done, running });
     }
 
     fn withdraw(&mut self, asker: Asker, uid: &str) {
@@ -370,10 +290,7 @@
         match self.replica.jobs.get(uid).map(|j| j.value.stage) {
             Some(Stage::Live) => self.commit_withdrawal(asker, uid),
             Some(_) => self.answer_known(asker, uid),
-            None => self.want_fresh(Waiter::Withdraw {
-                asker,
-                uid: uid.to_string(),
-            }),
+            None => self.want_fresh(Waiter::Withdraw { asker, uid: uid.to_string() }),
         }
     }
 
@@ -390,27 +307,17 @@
         let Some(job) = self.replica.jobs.get(uid) else {
             return;
         };
-        let rec = JobRec {
-            stage: Stage::Withdrawn,
-            ..job.value.clone()
-        };
+        let rec = JobRec { stage: Stage::Withdrawn, ..job.value.clone() };
         let key = job_key(uid);
         let commit = Commit {
-            conditions: vec![If {
-                key: key.clone(),
-                stamp: job.stamp,
-            }],
+            conditions: vec![If { key: key.clone(), stamp: job.stamp }],
             writes: vec![Write::put(key, &rec)],
         };
         if !self.writes.take(1.0, 0.0, self.now.mono) {
             return self.refuse(asker, 503, "too many requests", Some(c::RETRY_AFTER_S));
         }
         let body = serde_json::to_vec(&commit).unwrap_or_default();
-        let purpose = Purpose::Withdraw {
-            asker,
-            uid: uid.to_string(),
-            commit,
-        };
+        let purpose = Purpose::Withdraw { asker, uid: uid.to_string(), commit };
         self.metrics.state_writes += 1;
         self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
     }
@@ -429,14 +336,7 @@
                 };
                 self.own_commit(&commit, done.ledger_rev);
                 log::debug!("{uid}: withdrawn");
-                self.answer_json(
-                    asker,
-                    200,
-                    &Accepted {
-                        uid: &uid,
-                        status: Status::Withdrawn,
-                    },
-                );
+                self.answer_json(asker, 200, &Accepted { uid: &uid, status: Status::Withdrawn });
             }
             // Done in the meantime, or withdrawn already.
             Some((409, _)) => self.want_fresh(Waiter::Withdraw { asker, uid }),
@@ -455,11 +355,7 @@
                 fresh.len() == self.peers.len() && fresh.iter().all(|g| !served_gossip(g));
             self.sync.loaded && (self.best_peer().is_some() || all_refused)
         };
-        let (status, body) = if ok {
-            (200, "{\"up\":true}")
-        } else {
-            (503, "{\"up\":false}")
-        };
+        let (status, body) = if ok { (200, "{\"up\":true}") } else { (503, "{\"up\":false}") };
         self.respond(conn, status, (!ok).then_some(c::RETRY_AFTER_S), body.into());
     }
 }
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -44,11 +44,7 @@
         let report: Report = match serde_json::from_slice(body) {
             Ok(r) => r,
             Err(e) => {
-                let asker = Asker {
-                    conn,
-                    relayed: false,
-                    since: self.now.mono,
-                };
+                let asker = Asker { conn, relayed: false, since: self.now.mono };
                 return self.refuse(asker, 400, &e.to_string(), None);
             }
         };
@@ -90,21 +86,12 @@
         m.sku = report.build;
         m.yard = report.yard;
         m.spot = report.lendables;
-        if let Some(b) = catalog
-            .iter()
-            .flat_map(|c| &c.builds)
-            .find(|b| b.sku == m.sku)
-        {
+        if let Some(b) = catalog.iter().flat_map(|c| &c.builds).find(|b| b.sku == m.sku) {
             m.total = Resources::new(b.cores, b.gpus, b.ram_gb);
         }
         if m.life == Life::Booting {
             m.life = Life::Up;
-            log::info!(
-                "{name}: up, {} in {}{}",
-                m.sku,
-                m.yard,
-                if m.spot { ", spot" } else { "" }
-            );
+            log::info!("{name}: up, {} in {}{}", m.sku, m.yard, if m.spot { ", spot" } else { "" });
         }
         m.up_at.get_or_insert(now);
         m.reported_at = Some(now);
@@ -114,14 +101,9 @@
             m.our_tenure = report.tenure;
         }
         let recalled = m.recall_at.is_some();
-        m.recall_at = report
-            .recall_s
-            .map(|s| now + (s.max(0.0) * c::MS_PER_S) as u64);
+        m.recall_at = report.recall_s.map(|s| now + (s.max(0.0) * c::MS_PER_S) as u64);
         if m.recall_at.is_some() && !recalled {
-            log::info!(
-                "{name}: to be taken in {:.0} s",
-                report.recall_s.unwrap_or(0.0)
-            );
+            log::info!("{name}: to be taken in {:.0} s", report.recall_s.unwrap_or(0.0));
         }
         let mut held = HeldReport {
             conn,
@@ -150,11 +132,10 @@
                 continue;
             }
             match shown.get(&(task.clone(), p.attempt)) {
-                Some(load) if !is_on(load.status) => {
-                    if ours {
-                        settled.push((task.clone(), load.cause.unwrap_or(Cause::Lost)));
-                    }
+                Some(load) if !is_on(load.status) && ours => {
+                    settled.push((task.clone(), load.cause.unwrap_or(Cause::Lost)));
                 }
+                Some(load) if !is_on(load.status) => {}
                 Some(load) => {
                     p.seen = Some(load.status);
                     if load.status != TaskStatus::Pulling && p.running_since.is_none() {
@@ -186,10 +167,7 @@
                 m.touch(false);
             }
             let _ = self.metrics.start_ms.record(now - placed_at);
-            log::debug!(
-                "{job}/{task}: runs on {name}, {} ms after it was placed",
-                now - placed_at
-            );
+            log::debug!("{job}/{task}: runs on {name}, {} ms after it was placed", now - placed_at);
         }
         for (task, cause) in settled {
             l.note_end(&name, &task, cause, now);
@@ -209,19 +187,12 @@
             if known {
                 continue;
             }
-            log::info!(
-                "{}: attempt {} on {name} is not in the books",
-                load.load,
-                load.attempt
-            );
+            log::info!("{}: attempt {} on {name} is not in the books", load.load, load.attempt);
             held.strays.push((load.load.clone(), load.attempt));
             l.books.count_stray(&name, &id, load.attempt, now);
         }
         if l.books.machines[&name].placements.is_empty() {
-            l.books
-                .machines
-                .get_mut(&name)
-                .map(|m| m.idle_since.get_or_insert(now));
+            l.books.machines.get_mut(&name).map(|m| m.idle_since.get_or_insert(now));
         }
         l.recall(&name, now, &self.cfg);
         l.held.push(held);
@@ -272,18 +243,12 @@
         let mut starts = Vec::new();
         let mut never_ordered = Vec::new();
         for (load, attempt) in h.strays {
-            orders.push(Order::Halt {
-                load,
-                attempt,
-                wind_down_s: 0.0,
-            });
+            orders.push(Order::Halt { load, attempt, wind_down_s: 0.0 });
         }
         for (load, attempt) in h.ended {
             // Only once what it said is committed, which takes the placement out.
             let open = parse_task(&load).is_some_and(|(job, task)| {
-                m.placements
-                    .get(&(job.into(), task))
-                    .is_some_and(|p| p.attempt == attempt)
+                m.placements.get(&(job.into(), task)).is_some_and(|p| p.attempt == attempt)
             });
             if !open {
                 orders.push(Order::Clear { load, attempt });
@@ -308,17 +273,10 @@
                     (Halt::MakeRoom, Some(s)) => s.mark_cost_s + c::WIND_DOWN_EXTRA_S,
                     _ => 0.0,
                 };
-                orders.push(Order::Halt {
-                    load,
-                    attempt: p.attempt,
-                    wind_down_s,
-                });
+                orders.push(Order::Halt { load, attempt: p.attempt, wind_down_s });
             } else if p.seen.is_none() && m.life == Life::Up && (!inherited || h.ours) {
                 p.ordered = Some(h.newest);
-                starts.push(Order::Start {
-                    load,
-                    attempt: p.attempt,
-                });
+                starts.push(Order::Start { load, attempt: p.attempt });
             }
         }
         orders.extend(starts);
@@ -327,11 +285,7 @@
             l.books.settle(&h.machine, &id, Cause::Lost);
         }
         let _ = self.metrics.report_ms.record(now - h.since);
-        let body = serde_json::to_vec(&Orders {
-            baton: term,
-            orders,
-        })
-        .unwrap_or_default();
+        let body = serde_json::to_vec(&Orders { baton: term, orders }).unwrap_or_default();
         self.respond(h.conn, 200, None, body);
     }
 }
@@ -347,11 +301,7 @@
         let Some(m) = books.machines.get_mut(machine) else {
             return;
         };
-        let ran = m
-            .placements
-            .get(id)
-            .and_then(|p| p.running_since)
-            .map(|t| now - t);
+        let ran = m.placements.get(id).and_then(|p| p.running_since).map(|t| now - t);
         if cause == Cause::Done {
             // It works here: the machines where it failed before are to blame.
             let blamed: Vec<Name> = job.failed_on.drain().collect();
@@ -382,11 +332,7 @@
             job.fail_pause_ms =
                 (job.fail_pause_ms * 2).clamp(c::FAIL_PAUSE_MS, c::FAIL_PAUSE_MAX_MS);
             job.paused_until = now + job.fail_pause_ms;
-            log::debug!(
-                "{}: failed on several machines, paused {} ms",
-                id.0,
-                job.fail_pause_ms
-            );
+            log::debug!("{}: failed on several machines, paused {} ms", id.0, job.fail_pause_ms);
             return;
         }
         m.failures.retain(|(t, _)| now - t < c::SICK_WINDOW_MS);
@@ -396,10 +342,7 @@
         jobs.dedup();
         let works_elsewhere = job.successes > 0 && m.failures.len() as u32 >= c::SICK_FAILURES;
         if (jobs.len() as u32 >= c::SICK_FAILURES || works_elsewhere) && !m.draining {
-            log::info!(
-                "{machine}: set aside, tasks of {} jobs failed there",
-                jobs.len()
-            );
+            log::info!("{machine}: set aside, tasks of {} jobs failed there", jobs.len());
             m.draining = true;
         }
     }
@@ -475,11 +418,7 @@
             job.next_fresh += 1;
         }
         self.propose(&id.0, id.1, machine, attempt, now);
-        if let Some(p) = self
-            .machines
-            .get_mut(machine)
-            .and_then(|m| m.placements.get_mut(id))
-        {
+        if let Some(p) = self.machines.get_mut(machine).and_then(|m| m.placements.get_mut(id)) {
             p.phase = Phase::Committed;
             p.seen = Some(TaskStatus::Running);
             p.halt = Some(Halt::MakeRoom);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,14 +11,9 @@
 const FIRST_PEER: usize = 2;
 
 fn clock(start: Instant) -> Clock {
-    let wall = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     // One second ahead of zero, so that differences to "long ago" stay in range.
-    Clock {
-        mono: start.elapsed().as_millis() as u64 + 1_000,
-        wall: wall.as_millis() as u64,
-    }
+    Clock { mono: start.elapsed().as_millis() as u64 + 1_000, wall: wall.as_millis() as u64 }
 }
 
 /// Runs a controller until the process is killed.
@@ -28,20 +23,11 @@
     let sockets = platform.params.machine_limits.sockets;
     let mut net = Net::new(platform.listen, platform.peer_bind, targets, sockets)?;
     let start = Instant::now();
-    log::info!(
-        "{} listens on {} and {}",
-        platform.label,
-        platform.listen,
-        platform.peer_bind
-    );
+    log::info!("{} listens on {} and {}", platform.label, platform.listen, platform.peer_bind);
     let mut core = Controller::new(platform, operator, clock(start), seed());
     loop {
         let now = clock(start).mono;
-        let wait = if net.has_incoming() {
-            0
-        } else {
-            core.next_wake().saturating_sub(now)
-        };
+        let wait = if net.has_incoming() { 0 } else { core.next_wake().saturating_sub(now) };
         let incoming = net.poll(Duration::from_millis(wait.min(c::POLL_MAX_MS)))?;
         let commands = incoming.into_iter().map(command).collect();
         for effect in core.batch(clock(start), commands) {
@@ -52,62 +38,30 @@
 
 fn command(i: Incoming) -> Command {
     match i {
-        Incoming::Request {
-            conn,
-            origin: Origin::Public,
-            request: r,
-        } => Command::Public {
-            conn,
-            method: r.method,
-            path: r.path,
-            body: r.body,
-        },
-        Incoming::Request {
-            conn,
-            origin: Origin::Peer,
-            request: r,
-        } => Command::Peer {
-            conn,
-            method: r.method,
-            path: r.path,
-            body: r.body,
-        },
-        Incoming::Reply { call, reply } => Command::Reply {
-            call,
-            reply: reply.map(|r| (r.status, r.body)),
-        },
+        Incoming::Request { conn, origin: Origin::Public, request: r } => {
+            Command::Public { conn, method: r.method, path: r.path, body: r.body }
+        }
+        Incoming::Request { conn, origin: Origin::Peer, request: r } => {
+            Command::Peer { conn, method: r.method, path: r.path, body: r.body }
+        }
+        Incoming::Reply { call, reply } => {
+            Command::Reply { call, reply: reply.map(|r| (r.status, r.body)) }
+        }
     }
 }
 
 fn perform(net: &mut Net, effect: Effect) {
     match effect {
-        Effect::Respond {
-            conn,
-            status,
-            retry_after_s,
-            body,
-        } => net.respond(conn, status, retry_after_s, &body),
-        Effect::Call {
-            id,
-            service,
-            method,
-            path,
-            body,
-            timeout_ms,
-        } => {
+        Effect::Respond { conn, status, retry_after_s, body } => {
+            net.respond(conn, status, retry_after_s, &body)
+        }
+        Effect::Call { id, service, method, path, body, timeout_ms } => {
             let target = match service {
                 Service::State => STATE,
                 Service::Cloud => CLOUD,
                 Service::Peer(i) => FIRST_PEER + i,
             };
-            net.call(Call {
-                id,
-                target,
-                method,
-                path,
-                body,
-                timeout_ms,
-            });
+            net.call(Call { id, target, method, path, body, timeout_ms });
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,10 +5,7 @@
 use std::process::ExitCode;
 
 #[derive(Parser)]
-#[command(
-    version,
-    about = "A cluster scheduler: several controllers, no disk, RUA-Backfilling"
-)]
+#[command(version, about = "A cluster scheduler: several controllers, no disk, RUA-Backfilling")]
 struct Cli {
     #[command(subcommand)]
     command: Verb,
@@ -40,10 +37,7 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let env = env_logger::Env::default().filter_or("LOG_LEVEL", "info");
-    env_logger::Builder::from_env(env)
-        .format_timestamp_millis()
-        .format_target(false)
-        .init();
+    env_logger::Builder::from_env(env).format_timestamp_millis().format_target(false).init();
     let result = match cli.command {
         Verb::Serve(files) => match settings::load(&files.config, files.operator.as_deref()) {
             Ok((platform, operator)) => daemon::serve(platform, operator),
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -21,11 +21,7 @@
     /// From decimal amounts.
     pub fn new(cores: f64, gpus: f64, ram_gb: f64) -> Resources {
         let m = |v: f64| (v * MILLI).round() as i64;
-        Resources {
-            cpu: m(cores),
-            gpu: m(gpus),
-            ram: m(ram_gb),
-        }
+        Resources { cpu: m(cores), gpu: m(gpus), ram: m(ram_gb) }
     }
 
     /// Whether `need` fits into what is here.
@@ -36,17 +32,13 @@
     /// How many times `need` fits.
     pub fn times(&self, need: &Resources) -> i64 {
         let one = |have: i64, n: i64| if n > 0 { have.max(0) / n } else { i64::MAX };
-        one(self.cpu, need.cpu)
-            .min(one(self.gpu, need.gpu))
-            .min(one(self.ram, need.ram))
+        one(self.cpu, need.cpu).min(one(self.gpu, need.gpu)).min(one(self.ram, need.ram))
     }
 
     /// The largest share of `whole` that this is, in any dimension.
     pub fn share_of(&self, whole: &Resources) -> f64 {
         let one = |a: i64, b: i64| if b > 0 { a as f64 / b as f64 } else { 0.0 };
-        one(self.cpu, whole.cpu)
-            .max(one(self.gpu, whole.gpu))
-            .max(one(self.ram, whole.ram))
+        one(self.cpu, whole.cpu).max(one(self.gpu, whole.gpu)).max(one(self.ram, whole.ram))
     }
 }
 
@@ -69,11 +61,7 @@
 impl std::ops::Mul<i64> for Resources {
     type Output = Resources;
     fn mul(self, n: i64) -> Resources {
-        Resources {
-            cpu: self.cpu * n,
-            gpu: self.gpu * n,
-            ram: self.ram * n,
-        }
+        Resources { cpu: self.cpu * n, gpu: self.gpu * n, ram: self.ram * n }
     }
 }
 
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -45,11 +45,7 @@
 impl Write {
     /// A write of a value with no lease.
     pub fn put<T: Serialize>(key: String, value: &T) -> Write {
-        Write::Put {
-            write: key,
-            data: raw(value),
-            tenancy: None,
-        }
+        Write::Put { write: key, data: raw(value), tenancy: None }
     }
 
     /// The key that is changed.
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -84,10 +84,7 @@
 pub fn submitted_uid(body: &[u8]) -> Result<(String, serde_json::Value), String> {
     let value: serde_json::Value = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     let object = value.as_object().ok_or("not an object")?;
-    let uid = object
-        .get("uid")
-        .and_then(|u| u.as_str())
-        .ok_or("uid: missing or not a string")?;
+    let uid = object.get("uid").and_then(|u| u.as_str()).ok_or("uid: missing or not a string")?;
     if !valid_uid(uid) {
         return Err("uid: must look like job-000412".into());
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -244,20 +244,14 @@
 
     /// What a core of a task of this class takes of a core's bandwidth.
     pub fn bandwidth(&self, duty: &str) -> Bandwidth {
-        self.duty_bandwidth
-            .iter()
-            .find(|(d, _)| d == duty)
-            .map_or(c::BANDWIDTH_LOW, |(_, b)| *b)
+        self.duty_bandwidth.iter().find(|(d, _)| d == duty).map_or(c::BANDWIDTH_LOW, |(_, b)| *b)
     }
 }
 
 /// Reads both files.
 pub fn load(config: &str, operator: Option<&str>) -> Result<(Platform, Operator), SettingsError> {
     fn parse<T>(file: &str, f: fn(&str) -> Result<T, String>) -> Result<T, SettingsError> {
-        let err = |reason: String| SettingsError {
-            file: file.to_string(),
-            reason,
-        };
+        let err = |reason: String| SettingsError { file: file.to_string(), reason };
         let text = std::fs::read_to_string(file).map_err(|e| err(e.to_string()))?;
         f(&text).map_err(err)
     }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -32,10 +32,7 @@
 }
 
 fn bad(reason: &'static str) -> HttpError {
-    HttpError {
-        status: 400,
-        reason,
-    }
+    HttpError { status: 400, reason }
 }
 
 /// How a body's end is found.
@@ -72,30 +69,16 @@
 }
 
 fn parse_head(buf: &[u8]) -> Result<Option<Head<'_>>, HttpError> {
-    let too_long = HttpError {
-        status: 431,
-        reason: "head too long",
-    };
+    let too_long = HttpError { status: 431, reason: "head too long" };
     let window = &buf[..buf.len().min(c::HTTP_HEAD_MAX)];
     let Some(end) = head_end(window) else {
-        return if buf.len() >= c::HTTP_HEAD_MAX {
-            Err(too_long)
-        } else {
-            Ok(None)
-        };
+        return if buf.len() >= c::HTTP_HEAD_MAX { Err(too_long) } else { Ok(None) };
     };
     let text = std::str::from_utf8(&buf[..end]).map_err(|_| bad("head is not text"))?;
     let mut lines = text.split('\n').map(|l| l.strip_suffix('\r').unwrap_or(l));
     let first = lines.next().unwrap_or("");
-    let mut head = Head {
-        first,
-        end,
-        length: None,
-        chunked: false,
-        close: false,
-        keep: false,
-        expect: false,
-    };
+    let mut head =
+        Head { first, end, length: None, chunked: false, close: false, keep: false, expect: false };
     for (n, line) in lines.take_while(|l| !l.is_empty()).enumerate() {
         if n >= c::HTTP_HEADERS_MAX {
             return Err(too_long);
@@ -109,20 +92,15 @@
             if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
                 return Err(bad("malformed content-length"));
             }
-            let n: usize = value.parse().map_err(|_| HttpError {
-                status: 413,
-                reason: "body too large",
-            })?;
+            let n: usize =
+                value.parse().map_err(|_| HttpError { status: 413, reason: "body too large" })?;
             if head.length.is_some_and(|old| old != n) {
                 return Err(bad("two lengths"));
             }
             head.length = Some(n);
         } else if name.eq_ignore_ascii_case("transfer-encoding") {
             if !value.eq_ignore_ascii_case("chunked") {
-                return Err(HttpError {
-                    status: 501,
-                    reason: "unknown transfer coding",
-                });
+                return Err(HttpError { status: 501, reason: "unknown transfer coding" });
             }
             head.chunked = true;
         } else if name.eq_ignore_ascii_case("connection") {
@@ -158,10 +136,7 @@
         if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
             return Err(bad("malformed chunk size"));
         }
-        let too_large = HttpError {
-            status: 413,
-            reason: "body too large",
-        };
+        let too_large = HttpError { status: 413, reason: "body too large" };
         let size = usize::from_str_radix(digits, 16).map_err(|_| too_large)?;
         if size > max - body.len() {
             return Err(too_large);
@@ -210,19 +185,15 @@
     closed: bool,
 ) -> Result<Option<(Vec<u8>, usize)>, HttpError> {
     match framing {
-        Framing::Length(n) if n > max => Err(HttpError {
-            status: 413,
-            reason: "body too large",
-        }),
+        Framing::Length(n) if n > max => Err(HttpError { status: 413, reason: "body too large" }),
         Framing::Length(n) if buf.len() - start < n => Ok(None),
         Framing::Length(n) => Ok(Some((buf[start..start + n].to_vec(), start + n))),
         Framing::Chunked => {
             Ok(parse_chunks(&buf[start..], max)?.map(|(body, used)| (body, start + used)))
         }
-        Framing::UntilClose if buf.len() - start > max => Err(HttpError {
-            status: 413,
-            reason: "body too large",
-        }),
+        Framing::UntilClose if buf.len() - start > max => {
+            Err(HttpError { status: 413, reason: "body too large" })
+        }
         Framing::UntilClose if closed => Ok(Some((buf[start..].to_vec(), buf.len()))),
         Framing::UntilClose => Ok(None),
     }
@@ -231,10 +202,7 @@
 /// Takes one request from the front of the buffer. `Ok(None)`: not whole yet.
 pub fn take_request(buf: &mut Vec<u8>, max_body: usize) -> Result<Option<Request>, HttpError> {
     // Empty lines before a request line are skipped, as old clients send them.
-    let lead = buf
-        .iter()
-        .take_while(|b| **b == b'\r' || **b == b'\n')
-        .count();
+    let lead = buf.iter().take_while(|b| **b == b'\r' || **b == b'\n').count();
     buf.drain(..lead);
     let Some(head) = parse_head(buf)? else {
         return Ok(None);
@@ -253,32 +221,15 @@
     let old = match version {
         "HTTP/1.1" => false,
         "HTTP/1.0" => true,
-        _ => {
-            return Err(HttpError {
-                status: 505,
-                reason: "version not supported",
-            })
-        }
-    };
-    let framing = if head.chunked {
-        Framing::Chunked
-    } else {
-        Framing::Length(head.length.unwrap_or(0))
+        _ => return Err(HttpError { status: 505, reason: "version not supported" }),
     };
+    let framing =
+        if head.chunked { Framing::Chunked } else { Framing::Length(head.length.unwrap_or(0)) };
     let Some((body, used)) = take_body(buf, head.end, framing, max_body, false)? else {
         return Ok(None);
     };
-    let keep_alive = if old {
-        head.keep && !head.close
-    } else {
-        !head.close
-    };
-    let request = Request {
-        method: method.into(),
-        path: path.into(),
-        body,
-        keep_alive,
-    };
+    let keep_alive = if old { head.keep && !head.close } else { !head.close };
+    let request = Request { method: method.into(), path: path.into(), body, keep_alive };
     buf.drain(..used);
     Ok(Some(request))
 }
@@ -325,11 +276,7 @@
             return Ok(None);
         };
         buf.drain(..used);
-        return Ok(Some(Response {
-            status,
-            body,
-            keep_alive: !close,
-        }));
+        return Ok(Some(Response { status, body, keep_alive: !close }));
     }
 }
 
@@ -386,11 +333,7 @@
     use std::io::Write;
     let _ = write!(out, "{method} {path} HTTP/1.1\r\nHost: {host}\r\n");
     if !body.is_empty() || method == "POST" {
-        let _ = write!(
-            out,
-            "Content-Type: application/json\r\nContent-Length: {}\r\n",
-            body.len()
-        );
+        let _ = write!(out, "Content-Type: application/json\r\nContent-Length: {}\r\n", body.len());
     }
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(body);
@@ -409,11 +352,7 @@
         let text = b"POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhelloGET ";
         let whole = text.len() - 4;
         for n in 0..whole {
-            assert_eq!(
-                take_request(&mut text[..n].to_vec(), 100),
-                Ok(None),
-                "{n} bytes"
-            );
+            assert_eq!(take_request(&mut text[..n].to_vec(), 100), Ok(None), "{n} bytes");
         }
         let mut buf = text.to_vec();
         let r = take_request(&mut buf, 100).unwrap().unwrap();
@@ -433,25 +372,13 @@
     #[test]
     fn limits_have_their_own_answers() {
         let status = |text: &str| request(text).unwrap_err().status;
-        assert_eq!(
-            status("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"),
-            413
-        );
+        assert_eq!(status("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"), 413);
         assert_eq!(
             status("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n"),
             413
         );
-        assert_eq!(
-            status("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n"),
-            413
-        );
-        assert_eq!(
-            status(&format!(
-                "GET /{} HTTP/1.1\r\n",
-                "a".repeat(c::HTTP_HEAD_MAX)
-            )),
-            431
-        );
+        assert_eq!(status("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n"), 413);
+        assert_eq!(status(&format!("GET /{} HTTP/1.1\r\n", "a".repeat(c::HTTP_HEAD_MAX))), 431);
         assert_eq!(status("GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), 400);
         assert_eq!(status("GET / HTTP/2.0\r\n\r\n"), 505);
         assert_eq!(status("nonsense\r\n\r\n"), 400);
@@ -482,6 +409,9 @@
         let (mut refused, mut whole) = (0, 0);
         for _ in 0..20_000 {
             let mut buf = Vec::new();
+            if rng.random_bool(0.5) {
+                buf.extend_from_slice(b"POST / HTTP/1.1\r\n");
+            }
             for _ in 0..rng.random_range(1..14) {
                 buf.extend_from_slice(parts[rng.random_range(0..parts.len())]);
             }
@@ -491,10 +421,7 @@
             }
             let _ = take_response(&mut buf, true);
         }
-        assert!(
-            refused > 1_000 && whole > 10,
-            "both ends were reached: {refused}, {whole}"
-        );
+        assert!(refused > 1_000 && whole > 10, "both ends were reached: {refused}, {whole}");
     }
 
     #[test]
@@ -502,9 +429,6 @@
         let text = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody".to_vec();
         assert_eq!(take_response(&mut text.clone(), false), Ok(None));
         let r = take_response(&mut text.clone(), true).unwrap().unwrap();
-        assert_eq!(
-            (r.status, r.body.as_slice(), r.keep_alive),
-            (200, &b"body"[..], false)
-        );
+        assert_eq!((r.status, r.body.as_slice(), r.keep_alive), (200, &b"body"[..], false));
     }
 }
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -50,18 +50,8 @@
 }
 
 enum Role {
-    Inbound {
-        id: ConnId,
-        origin: Origin,
-        busy: bool,
-        keep_alive: bool,
-        close: bool,
-    },
-    Outbound {
-        target: Target,
-        call: Option<(CallId, Instant)>,
-        connecting: bool,
-    },
+    Inbound { id: ConnId, origin: Origin, busy: bool, keep_alive: bool, close: bool },
+    Outbound { target: Target, call: Option<(CallId, Instant)>, connecting: bool },
 }
 
 struct Conn {
@@ -119,11 +109,7 @@
         sockets: usize,
     ) -> io::Result<Net> {
         let poller = Poller::new()?;
-        let mode = if poller.supports_level() {
-            PollMode::Level
-        } else {
-            PollMode::Oneshot
-        };
+        let mode = if poller.supports_level() { PollMode::Level } else { PollMode::Oneshot };
         let (public, peer) = (listen(public)?, listen(peer)?);
         // SAFETY: both listeners live as long as the poller they are added to.
         unsafe {
@@ -188,9 +174,7 @@
                 Origin::Public => (&self.public, KEY_PUBLIC),
                 Origin::Peer => (&self.peer, KEY_PEER),
             };
-            let _ = self
-                .poller
-                .modify_with_mode(l, Event::readable(key), self.mode);
+            let _ = self.poller.modify_with_mode(l, Event::readable(key), self.mode);
         }
         loop {
             let l = match origin {
@@ -212,13 +196,7 @@
             let _ = stream.set_nodelay(true);
             let id = self.next_conn;
             self.next_conn += 1;
-            let role = Role::Inbound {
-                id,
-                origin,
-                busy: false,
-                keep_alive: true,
-                close: false,
-            };
+            let role = Role::Inbound { id, origin, busy: false, keep_alive: true, close: false };
             if let Some(key) = self.add(stream, role, (true, false)) {
                 self.inbound.insert(id, key);
             }
@@ -250,13 +228,7 @@
             return;
         };
         let write = conn.written < conn.output.len()
-            || matches!(
-                conn.role,
-                Role::Outbound {
-                    connecting: true,
-                    ..
-                }
-            );
+            || matches!(conn.role, Role::Outbound { connecting: true, .. });
         // A client that sends more while it waits for an answer is read later.
         let read = match &conn.role {
             Role::Inbound { busy, .. } => {
@@ -316,12 +288,7 @@
         }
         conn.output = Vec::new();
         conn.written = 0;
-        if let Role::Inbound {
-            busy: false,
-            close: true,
-            ..
-        } = conn.role
-        {
+        if let Role::Inbound { busy: false, close: true, .. } = conn.role {
             self.close(key);
             return false;
         }
@@ -365,11 +332,7 @@
                 }
             }
         }
-        match self
-            .conns
-            .get(&key)
-            .map(|c| matches!(c.role, Role::Inbound { .. }))
-        {
+        match self.conns.get(&key).map(|c| matches!(c.role, Role::Inbound { .. })) {
             Some(true) => self.take_requests(key),
             Some(false) => self.take_replies(key),
             None => false,
@@ -380,14 +343,7 @@
         let Some(conn) = self.conns.get_mut(&key) else {
             return false;
         };
-        let Role::Inbound {
-            id,
-            origin,
-            busy,
-            keep_alive,
-            close,
-        } = &mut conn.role
-        else {
+        let Role::Inbound { id, origin, busy, keep_alive, close } = &mut conn.role else {
             return true;
         };
         if *busy {
@@ -411,11 +367,7 @@
                 if conn.input.is_empty() {
                     conn.input = Vec::new();
                 }
-                self.incoming.push(Incoming::Request {
-                    conn: *id,
-                    origin: *origin,
-                    request,
-                });
+                self.incoming.push(Incoming::Request { conn: *id, origin: *origin, request });
                 true
             }
             Ok(None) if conn.ended => {
@@ -428,8 +380,7 @@
             }
             Ok(None) => {
                 if http::wants_continue(&conn.input) {
-                    conn.output
-                        .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    conn.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                     return self.flush(key);
                 }
                 true
@@ -454,13 +405,7 @@
         let Some(conn) = self.conns.get_mut(&key) else {
             return;
         };
-        let Role::Inbound {
-            busy,
-            keep_alive,
-            close,
-            ..
-        } = &mut conn.role
-        else {
+        let Role::Inbound { busy, keep_alive, close, .. } = &mut conn.role else {
             return;
         };
         if !*busy {
@@ -491,17 +436,11 @@
                 self.send(key, call, deadline);
                 return;
             }
-            self.incoming.push(Incoming::Reply {
-                call: call.id,
-                reply: None,
-            });
+            self.incoming.push(Incoming::Reply { call: call.id, reply: None });
         } else if self.queued[target].len() < c::OUTBOUND_QUEUE {
             self.queued[target].push_back((call, deadline));
         } else {
-            self.incoming.push(Incoming::Reply {
-                call: call.id,
-                reply: None,
-            });
+            self.incoming.push(Incoming::Reply { call: call.id, reply: None });
         }
     }
 
@@ -515,11 +454,7 @@
             Err(e) if e.raw_os_error() == Some(libc_einprogress()) => {}
             Err(_) => return None,
         }
-        let role = Role::Outbound {
-            target,
-            call: None,
-            connecting: true,
-        };
+        let role = Role::Outbound { target, call: None, connecting: true };
         let key = self.add(s.into(), role, (true, true))?;
         self.open[target] += 1;
         Some(key)
@@ -530,12 +465,7 @@
         let Some(conn) = self.conns.get_mut(&key) else {
             return;
         };
-        let Role::Outbound {
-            call: slot,
-            connecting,
-            ..
-        } = &mut conn.role
-        else {
+        let Role::Outbound { call: slot, connecting, .. } = &mut conn.role else {
             return;
         };
         *slot = Some((call.id, deadline));
@@ -565,10 +495,7 @@
                 let keep = r.keep_alive && !conn.ended && conn.input.is_empty();
                 conn.input = Vec::new();
                 conn.since = Instant::now();
-                self.incoming.push(Incoming::Reply {
-                    call: id,
-                    reply: Some(r),
-                });
+                self.incoming.push(Incoming::Reply { call: id, reply: Some(r) });
                 if !keep {
                     self.close(key);
                     return false;
@@ -593,10 +520,7 @@
             if deadline > now {
                 return Some((call, deadline));
             }
-            self.incoming.push(Incoming::Reply {
-                call: call.id,
-                reply: None,
-            });
+            self.incoming.push(Incoming::Reply { call: call.id, reply: None });
         }
         None
     }
@@ -614,10 +538,7 @@
                 self.open[target] -= 1;
                 self.pooled[target].retain(|k| *k != key);
                 if let Some((id, _)) = call {
-                    self.incoming.push(Incoming::Reply {
-                        call: id,
-                        reply: None,
-                    });
+                    self.incoming.push(Incoming::Reply { call: id, reply: None });
                 }
                 if let Some((call, _)) = self.next_queued(target) {
                     self.call(call);
@@ -648,10 +569,7 @@
                         gone.push(*key);
                     }
                 }
-                Role::Outbound {
-                    call: Some((_, deadline)),
-                    ..
-                } => {
+                Role::Outbound { call: Some((_, deadline)), .. } => {
                     if now >= *deadline {
                         gone.push(*key);
                     }
--- /dev/null
+++ b/tests/random.rs
@@ -0,0 +1,178 @@
+//! The random story: many seeds, every trouble the protocol knows, singly and overlapping.
+//! The world's checker watches every rule; at the end all troubles stop and all that was
+//! accepted must come to its end.
+
+mod world;
+
+use rand::Rng;
+use serde_json::json;
+use world::*;
+
+const SEEDS: u64 = 60;
+const TROUBLED_MS: u64 = 90_000;
+
+fn trouble(w: &mut World) {
+    let i = w.rng.random_range(0..3);
+    match w.rng.random_range(0..16) {
+        0 => {
+            let back = if w.rng.random_bool(0.3) { 100 } else { w.rng.random_range(500..8_000) };
+            w.crash(i, back);
+        }
+        1 => {
+            if let Some(l) = w.leader() {
+                let back = w.rng.random_range(50..6_000);
+                w.crash(l, back);
+            }
+        }
+        2 if w.rng.random_bool(0.3) => (0..3).for_each(|i| w.crash(i, 2_000 + 300 * i as u64)),
+        3 => w.nodes[i].refused ^= true,
+        4 => w.nodes[i].cut_state ^= true,
+        5 => w.nodes[i].cut_workers ^= true,
+        6 => w.nodes[i].cut_peers ^= true,
+        7 => {
+            if w.state.outage {
+                w.end_outage();
+            } else if w.rng.random_bool(0.5) {
+                w.state.outage = true;
+            }
+        }
+        8 => w.state.late_commits = if w.state.late_commits > 0.0 { 0.0 } else { 0.3 },
+        9 => w.state.lost_answers = if w.state.lost_answers > 0.0 { 0.0 } else { 0.2 },
+        10 => w.late_reports = if w.late_reports > 0.0 { 0.0 } else { 0.2 },
+        11 => w.cloud.down ^= true,
+        k => {
+            let names: Vec<String> =
+                w.workers.iter().filter(|(_, x)| !x.dead).map(|(n, _)| n.clone()).collect();
+            if names.is_empty() {
+                return;
+            }
+            let name = names[w.rng.random_range(0..names.len())].clone();
+            let now = w.now;
+            match k {
+                12 => w.workers.get_mut(&name).unwrap().cut ^= true,
+                13 => w.workers.get_mut(&name).unwrap().sick ^= true,
+                14 => w.kill_machine(&name),
+                _ => w.workers.get_mut(&name).unwrap().recall_at = Some(now + 6_000),
+            }
+        }
+    }
+}
+
+fn calm(w: &mut World) {
+    for n in &mut w.nodes {
+        n.refused = false;
+        n.cut_state = false;
+        n.cut_workers = false;
+        n.cut_peers = false;
+    }
+    if w.state.outage {
+        w.end_outage();
+    }
+    w.state.late_commits = 0.0;
+    w.state.lost_answers = 0.0;
+    w.late_reports = 0.0;
+    w.cloud.down = false;
+    for x in w.workers.values_mut() {
+        x.cut = false;
+        x.sick = false;
+    }
+}
+
+fn job(w: &mut World, n: u64) {
+    let shape = if w.rng.random_bool(0.3) { "standing" } else { "batch" };
+    let loads = w.rng.random_range(1..6);
+    let mut s = w.spec(n, shape, loads);
+    if w.rng.random_bool(0.3) {
+        s["apart"] = json!(true);
+    } else if w.rng.random_bool(0.2) {
+        s["together"] = json!(true);
+    }
+    if w.rng.random_bool(0.2) {
+        s["yard"] = json!("b");
+        s["apart"] = json!(false);
+    }
+    let run = if shape == "standing" { u64::MAX } else { w.rng.random_range(500..9_000) };
+    let node = w.rng.random_range(0..3);
+    w.submit(s, run, node);
+}
+
+fn story(seed: u64) -> (u32, usize) {
+    let mut w = World::new(seed);
+    w.run(3_000);
+    let end = w.now + TROUBLED_MS;
+    let mut n = 0;
+    while w.now < end {
+        let pause = w.rng.random_range(100..1_500);
+        w.run(pause);
+        match w.rng.random_range(0..10) {
+            0..=2 => trouble(&mut w),
+            3 | 4 if n < 25 => {
+                n += 1;
+                job(&mut w, n);
+            }
+            5 if n > 0 && w.rng.random_bool(0.5) => {
+                let uid = format!("job-{:06}", w.rng.random_range(1..=n));
+                let node = w.rng.random_range(0..3);
+                w.withdraw(&uid, node);
+            }
+            6 if n > 0 => {
+                // A retry of a submission, at any time.
+                let uid = format!("job-{:06}", w.rng.random_range(1..=n));
+                let (spec, run) = (w.jobs[&uid].spec.clone(), w.jobs[&uid].run_ms);
+                let node = w.rng.random_range(0..3);
+                w.submit(spec, run, node);
+            }
+            _ => {
+                let uid = format!("job-{:06}", w.rng.random_range(1..=n + 2));
+                let node = w.rng.random_range(0..3);
+                w.poll(&uid, node);
+            }
+        }
+    }
+    calm(&mut w);
+    // Services are withdrawn in the end, and every batch job comes to its end.
+    w.run(5_000);
+    let uids: Vec<String> = w.jobs.keys().cloned().collect();
+    for uid in &uids {
+        if w.jobs[uid].spec["shape"] == "standing" {
+            // Its user may not have heard that it was accepted.
+            let accepted = w.jobs[uid].accepted_at.is_some();
+            let r = w.withdraw(uid, 0);
+            w.run(2_000);
+            let status = w.status(r);
+            assert!(status == 200 || status == 404 && !accepted, "seed {seed}: {uid}: {status}");
+        }
+    }
+    for uid in &uids {
+        let j = &w.jobs[uid];
+        if j.spec["shape"] == "standing" || j.accepted_at.is_none() {
+            continue;
+        }
+        if !j.done_told && j.withdrawn_told.is_none() && !j.asked_withdraw {
+            w.until_done(uid, 240_000);
+        }
+    }
+    w.run(CANCEL_MS + 1_000);
+    (w.jobs.values().map(|j| j.starts).sum(), w.jobs.values().filter(|j| j.done_told).count())
+}
+
+#[test]
+fn no_seed_breaks_a_rule() {
+    // Seeds are independent: a share each for a few threads.
+    let threads: Vec<_> = (0..6u64)
+        .map(|t| {
+            std::thread::spawn(move || {
+                (0..SEEDS).filter(|s| s % 6 == t).map(|s| (s, story(s))).collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    let mut starts = 0;
+    let mut done = 0;
+    for t in threads {
+        for (_, (s, d)) in t.join().expect("a seed broke a rule, see above") {
+            starts += s;
+            done += d;
+        }
+    }
+    assert!(starts > 1_000 && done > 200, "the story ran: {starts} starts, {done} jobs done");
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,375 @@
+//! Short stories: one trouble each, three controllers, a fake world.
+
+mod world;
+
+use serde_json::json;
+use world::*;
+
+fn settled() -> World {
+    let mut w = World::new(1);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.run(3_000);
+    w
+}
+
+#[test]
+fn a_job_is_accepted_run_and_done() {
+    let mut w = settled();
+    let s = w.spec(1, "batch", 3);
+    let r = w.submit(s.clone(), 3_000, 1);
+    w.run(200);
+    assert_eq!(w.status(r), 201);
+    let again = w.submit(s, 3_000, 2);
+    w.run(200);
+    assert_eq!(w.status(again), 200, "a repeat is known at another controller");
+    w.until_done("job-000001", 30_000);
+    assert_eq!(w.jobs["job-000001"].starts, 3, "every task started once");
+}
+
+#[test]
+fn what_can_not_be_taken_is_answered_at_once() {
+    let mut w = settled();
+    let ask = |w: &mut World, body: String| {
+        let r = w.ask(0, "job-000009", "other", "POST", "/v1/jobs".into(), body.into_bytes());
+        w.run(300);
+        w.status(r)
+    };
+    let good = w.spec(9, "batch", 1);
+    let with = |k: &str, v: serde_json::Value| {
+        let mut s = good.clone();
+        s[k] = v;
+        s.to_string()
+    };
+    assert_eq!(ask(&mut w, "nonsense".into()), 400);
+    assert_eq!(ask(&mut w, "[]".into()), 400);
+    assert_eq!(ask(&mut w, with("uid", json!("task-1"))), 400);
+    assert_eq!(ask(&mut w, with("loads", json!(0))), 400);
+    assert_eq!(ask(&mut w, with("loads", json!(100_001))), 400);
+    assert_eq!(ask(&mut w, with("gpus", json!(-1.0))), 400);
+    assert_eq!(ask(&mut w, with("kit", json!(null))), 400);
+    assert_eq!(ask(&mut w, with("crew", json!("nobody"))), 422);
+    assert_eq!(ask(&mut w, with("gpus", json!(5.0))), 422, "no machine has so many");
+    let mut wide = w.spec(9, "standing", 13);
+    wide["apart"] = json!(false);
+    assert_eq!(ask(&mut w, wide.to_string()), 422, "more than the team's limit at once");
+    assert_eq!(ask(&mut w, w_unknown(&good)), 201, "unknown fields are ignored");
+    let r = w.poll("job-000404", 0);
+    let x = w.withdraw("job-000404", 1);
+    w.run(300);
+    assert_eq!((w.status(r), w.status(x)), (404, 404));
+}
+
+fn w_unknown(good: &serde_json::Value) -> String {
+    let mut s = good.clone();
+    s["colour"] = json!("green");
+    s.to_string()
+}
+
+#[test]
+fn an_accepted_job_outlives_all_controllers() {
+    let mut w = settled();
+    let s = w.spec(1, "batch", 6);
+    let r = w.submit(s, 8_000, 0);
+    w.until(1_000, "accepted", |w| w.status(r) == 201);
+    for i in 0..3 {
+        w.crash(i, 3_000 + 100 * i as u64);
+    }
+    w.until_done("job-000001", 60_000);
+}
+
+#[test]
+fn a_leader_that_only_workers_reach_makes_way_and_nothing_runs_twice() {
+    let mut w = settled();
+    let s = w.spec(1, "standing", 3);
+    w.submit(s, u64::MAX, 0);
+    w.run(8_000);
+    let old = w.leader().expect("leads");
+    w.nodes[old].cut_state = true;
+    w.nodes[old].cut_peers = true;
+    // Two leaders for a while; the workers see only the old one.
+    w.until(20_000, "another leads", |w| w.leader().is_some_and(|l| l != old));
+    let s = w.spec(2, "batch", 2);
+    w.submit(s, 2_000, (old + 1) % 3);
+    w.run(40_000);
+    w.nodes[old].cut_state = false;
+    w.nodes[old].cut_peers = false;
+    w.until_done("job-000002", 60_000);
+    w.run(10_000);
+    let on: usize = w.workers.values().map(|x| x.running().len()).sum();
+    assert_eq!(on, 3, "the service runs");
+}
+
+#[test]
+fn a_cancellation_holds_against_a_leader_that_can_not_hear_of_it() {
+    let mut w = settled();
+    let s = w.spec(1, "standing", 3);
+    w.submit(s, u64::MAX, 0);
+    w.run(8_000);
+    let old = w.leader().expect("leads");
+    w.nodes[old].cut_state = true;
+    w.nodes[old].cut_peers = true;
+    w.run(500);
+    let r = w.withdraw("job-000001", (old + 1) % 3);
+    w.until(2_000, "withdrawn", |w| w.status(r) == 200);
+    // The old leader goes on answering its workers, but not for too long.
+    w.run(CANCEL_MS + 10_000);
+    assert!(w.workers.values().all(|x| x.running().is_empty()));
+}
+
+#[test]
+fn late_and_lost_commits_change_nothing_for_users() {
+    let mut w = settled();
+    w.state.late_commits = 0.3;
+    w.state.lost_answers = 0.1;
+    for n in 1..=6 {
+        let s = w.spec(n, "batch", 4);
+        w.submit(s, 2_000, n as usize % 3);
+        w.run(1_000);
+    }
+    w.run(40_000);
+    w.state.late_commits = 0.0;
+    w.state.lost_answers = 0.0;
+    for n in 1..=6 {
+        let s = w.spec(n, "batch", 4);
+        w.submit(s, 2_000, 0);
+        w.until_done(&format!("job-{n:06}"), 60_000);
+    }
+}
+
+#[test]
+fn reports_that_come_late_settle_nothing() {
+    let mut w = settled();
+    w.late_reports = 0.15;
+    for n in 1..=4 {
+        let s = w.spec(n, "batch", 6);
+        w.submit(s, 3_000, 0);
+        w.run(2_000);
+    }
+    w.run(30_000);
+    w.late_reports = 0.0;
+    for n in 1..=4 {
+        w.until_done(&format!("job-{n:06}"), 90_000);
+    }
+}
+
+#[test]
+fn tasks_of_a_cut_machine_start_elsewhere_only_after_its_lease() {
+    let mut w = settled();
+    let s = w.spec(1, "standing", 2);
+    w.submit(s, u64::MAX, 0);
+    w.run(8_000);
+    let name =
+        w.workers.iter().find(|(_, x)| x.is_on("job-000001")).map(|(n, _)| n.clone()).unwrap();
+    let starts = w.jobs["job-000001"].starts;
+    w.workers.get_mut(&name).unwrap().cut = true;
+    w.run(LEASE_MS - 2_000);
+    assert_eq!(w.jobs["job-000001"].starts, starts, "not before the lease is over");
+    w.until(20_000, "replaced", |w| w.jobs["job-000001"].starts > starts);
+    w.workers.get_mut(&name).unwrap().cut = false;
+    w.run(20_000);
+}
+
+#[test]
+fn a_withdrawal_holds_against_done_and_start() {
+    let mut w = settled();
+    for n in 1..=12u64 {
+        let s = w.spec(n, "batch", 2);
+        w.submit(s, 1_000, 0);
+        // At ever later moments of the job's short life.
+        w.run(n * 450);
+        let uid = format!("job-{n:06}");
+        let a = w.withdraw(&uid, 1);
+        let b = w.withdraw(&uid, 2);
+        w.run(400);
+        assert_eq!(w.status(a), 200);
+        assert_eq!(w.answer(a)["status"], w.answer(b)["status"], "one outcome for all");
+    }
+    w.run(CANCEL_MS + 5_000);
+    let outcomes: Vec<String> = w.jobs.values().map(|j| j.last_status.clone()).collect();
+    assert!(outcomes.iter().any(|o| o == "withdrawn") && outcomes.iter().any(|o| o == "done"));
+}
+
+#[test]
+fn running_work_survives_an_outage_of_the_state_service() {
+    let mut w = settled();
+    let s = w.spec(1, "standing", 2);
+    w.submit(s, u64::MAX, 0);
+    w.run(8_000);
+    let starts = w.jobs["job-000001"].starts;
+    w.state.outage = true;
+    w.run(3_000);
+    let s = w.spec(2, "batch", 1);
+    let refused = w.submit(s, 1_000, 1);
+    w.run(60_000);
+    assert_eq!(w.status(refused), 503, "refused, and at once");
+    assert_eq!(w.jobs["job-000001"].starts, starts, "nothing was lost, all being refused alike");
+    w.end_outage();
+    w.run(20_000);
+    assert_eq!(w.jobs["job-000001"].starts, starts);
+}
+
+#[test]
+fn a_controller_that_alone_is_refused_has_its_peers_answer() {
+    let mut w = settled();
+    let s = w.spec(1, "batch", 2);
+    w.submit(s, 2_000, 0);
+    w.run(500);
+    let other = (w.leader().unwrap() + 1) % 3;
+    w.nodes[other].refused = true;
+    w.run(4_000);
+    let r = w.poll("job-000001", other);
+    let s = w.spec(2, "batch", 1);
+    let x = w.submit(s, 1_000, other);
+    w.run(500);
+    assert_eq!((w.status(r), w.status(x)), (200, 201));
+    // The leader itself: someone else takes over.
+    w.nodes[other].refused = false;
+    let old = w.leader().unwrap();
+    w.nodes[old].refused = true;
+    w.until(15_000, "another leads", |w| w.leader().is_some_and(|l| l != old));
+    w.until_done("job-000002", 40_000);
+}
+
+#[test]
+fn a_roll_of_all_controllers_stops_no_service() {
+    let mut w = settled();
+    let s = w.spec(1, "standing", 4);
+    w.submit(s, u64::MAX, 0);
+    w.run(8_000);
+    let starts = w.jobs["job-000001"].starts;
+    for i in 0..3 {
+        w.crash(i, 2_000);
+        w.run(10_000);
+    }
+    assert_eq!(w.jobs["job-000001"].starts, starts, "no replica was started again");
+}
+
+#[test]
+fn apart_counts_replicas_that_can_not_be_reached() {
+    let mut w = settled();
+    let mut s = w.spec(1, "standing", 3);
+    s["apart"] = json!(true);
+    w.submit(s, u64::MAX, 0);
+    w.run(12_000);
+    for round in 0..3 {
+        let name = w
+            .workers
+            .iter()
+            .filter(|(_, x)| !x.dead && x.is_on("job-000001"))
+            .map(|(n, _)| n.clone())
+            .nth(round % 2)
+            .unwrap();
+        w.workers.get_mut(&name).unwrap().cut = true;
+        let l = w.leader().unwrap();
+        w.crash(l, 1_000);
+        w.run(25_000);
+        w.workers.get_mut(&name).unwrap().cut = false;
+        w.run(5_000);
+    }
+    let on: usize = w.workers.values().filter(|x| !x.dead).map(|x| x.running().len()).sum();
+    assert_eq!(on, 3);
+}
+
+#[test]
+fn the_limit_holds_across_a_change_of_leader() {
+    let mut w = settled();
+    w.cloud.capacity = 8;
+    let s = w.spec(1, "batch", 60);
+    w.submit(s, 4_000, 0);
+    for _ in 0..4 {
+        w.run(7_000);
+        let l = w.leader().unwrap_or(0);
+        w.crash(l, 1_500);
+    }
+    w.until_done("job-000001", 120_000);
+}
+
+#[test]
+fn a_second_controller_never_answers_older() {
+    let mut w = settled();
+    let s = w.spec(1, "batch", 1);
+    let r = w.submit(s, 60_000, 0);
+    w.until(1_000, "accepted", |w| w.status(r) == 201);
+    let (a, b) = (w.poll("job-000001", 1), w.poll("job-000001", 2));
+    w.run(100);
+    assert_eq!((w.status(a), w.status(b)), (200, 200), "no 404 right after the acceptance");
+    let x = w.withdraw("job-000001", 1);
+    w.until(1_000, "withdrawn", |w| w.status(x) == 200);
+    let (a, b) = (w.poll("job-000001", 0), w.poll("job-000001", 2));
+    w.run(100);
+    assert_eq!(w.answer(a)["status"], "withdrawn");
+    assert_eq!(w.answer(b)["status"], "withdrawn");
+}
+
+#[test]
+fn a_large_array_is_kept_as_ranges() {
+    let mut w = settled();
+    let s = w.spec(1, "batch", 100_000);
+    w.submit(s, 500, 0);
+    w.run(15_000);
+    let l = w.leader().unwrap();
+    let job = &w.nodes[l].core.as_ref().unwrap().leader().unwrap().books.jobs["job-000001"];
+    assert!(job.done_count > 20, "it moves on: {}", job.done_count);
+    assert!(job.returned.len() < 100, "no object per waiting task");
+    w.withdraw("job-000001", 0);
+    w.run(CANCEL_MS + 2_000);
+}
+
+#[test]
+fn a_sick_machine_is_set_aside_and_a_bad_job_is_not_blamed_on_machines() {
+    let mut w = settled();
+    let sick = w.workers.keys().next().unwrap().clone();
+    w.workers.get_mut(&sick).unwrap().sick = true;
+    for n in 1..=4 {
+        let s = w.spec(n, "batch", 3);
+        w.submit(s, 2_000, 0);
+    }
+    for n in 1..=4 {
+        w.until_done(&format!("job-{n:06}"), 60_000);
+    }
+    w.run(5_000);
+    assert!(w.workers[&sick].dead, "the sick machine was returned");
+    let s = w.spec(5, "batch", 3);
+    w.submit(s, 2_000, 0);
+    w.jobs.get_mut("job-000005").unwrap().bad = true;
+    let s = w.spec(6, "batch", 3);
+    w.submit(s, 2_000, 0);
+    w.until_done("job-000006", 60_000);
+    w.run(10_000);
+    let l = w.leader().unwrap();
+    let books = &w.nodes[l].core.as_ref().unwrap().leader().unwrap().books;
+    assert!(books.machines.values().filter(|m| !m.draining).count() >= 1, "a good machine is left");
+    assert!(books.jobs["job-000005"].paused_until > 0, "the bad job is held back");
+}
+
+#[test]
+fn a_task_with_no_record_is_stopped() {
+    // A start that no record explains can't come from this program; should it ever be
+    // there, it must not run beside the real one.
+    let mut w = settled();
+    let s = w.spec(1, "standing", 1);
+    w.submit(s, u64::MAX, 0);
+    w.run(6_000);
+    let other =
+        w.workers.iter().find(|(_, x)| !x.is_on("job-000001")).map(|(n, _)| n.clone()).unwrap();
+    w.jobs.insert("job-000077".into(), w_job(&w));
+    w.plant(&other, "job-000077", 0, 5);
+    w.run(6_000);
+    assert!(!w.workers[&other].is_on("job-000077"));
+}
+
+fn w_job(w: &World) -> Job {
+    Job {
+        spec: w.spec(77, "standing", 1),
+        loads: 1,
+        run_ms: u64::MAX,
+        accepted_at: None,
+        done_tasks: Default::default(),
+        done_told: false,
+        withdrawn_told: None,
+        asked_withdraw: false,
+        last_status: String::new(),
+        bad: false,
+        starts: 0,
+    }
+}
