A new leader no longer returns machines that it has not heard of

Cause: machines known from the list or the store, but silent in the new term, counted as booting ones; older than a boot may take, they were deleted, with all that ran on them. Found by mutating the limit on answering without the state service, which no story noticed: the machines were gone before it mattered. A story now watches both.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -56,8 +56,11 @@
 /// Life of a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Life {
-    /// Rented, not heard of.
+    /// Rented, not yet up.
     Booting,
+    /// Up as far as the store or the list tells, but its worker has not reported in this
+    /// term. It may be busy with another controller, or cut off.
+    Unheard,
     /// Its worker has reported.
     Up,
     /// A deletion was asked for.
@@ -275,6 +278,7 @@
                 continue;
             }
             let mut m = Machine::new(name.clone(), now);
+            m.life = Life::Unheard;
             m.key_stamp = place.stamp;
             m.kits = place.value.kits.clone();
             for (job, task, attempt) in &place.value.tasks {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -220,6 +220,12 @@
                 }
             }
             m.listed_at.get_or_insert(now);
+            // An old machine that has not reported in this term is not one that fails to
+            // boot: a new leader once returned healthy machines for that.
+            if m.life == Life::Booting && h.status == HostStatus::Running {
+                m.life = Life::Unheard;
+                m.known_at = now;
+            }
             if h.status == HostStatus::Failed && m.life != Life::Gone {
                 dead.push(name);
             }
@@ -298,7 +304,7 @@
             let empty = m.placements.is_empty();
             let age = now.saturating_sub(m.rented_at);
             let back = match m.life {
-                Life::Gone | Life::Deleting => false,
+                Life::Gone | Life::Deleting | Life::Unheard => false,
                 Life::Booting => age as f64 > ready as f64 * c::BOOT_LOST,
                 Life::Up if m.lapsed => {
                     m.answered_at.is_none_or(|t| now > t + c::SILENT_DELETE_MS) || m.draining
@@ -326,12 +332,8 @@
             let mute = m.life == Life::Up
                 && !m.lapsed
                 && m.reported_at.is_some_and(|t| now > t + c::SILENT_DELETE_MS);
-            let unheard = m.life == Life::Booting
-                && !empty
-                && now
-                    > m.known_at
-                        + c::SILENT_DELETE_MS
-                        + self.cfg.params.workers.lease_s as u64 * 1000;
+            let wait = c::SILENT_DELETE_MS + (self.cfg.params.workers.lease_s * c::MS_PER_S) as u64;
+            let unheard = m.life == Life::Unheard && now > m.known_at + wait;
             if back || mute || unheard {
                 names.push(m.name.clone());
             }
@@ -369,7 +371,7 @@
         for n in names {
             // Perhaps carried out, perhaps later: asked for again.
             if let Some(m) = l.books.machines.get_mut(&n).filter(|m| m.life == Life::Deleting) {
-                m.life = if m.up_at.is_some() { Life::Up } else { Life::Booting };
+                m.life = if m.up_at.is_some() { Life::Up } else { Life::Unheard };
                 m.draining = true;
             }
         }
--- a/src/coordination/status.rs
+++ b/src/coordination/status.rs
@@ -56,6 +56,7 @@
                 .map(|m| {
                     let state = match m.life {
                         Life::Booting => "booting",
+                        Life::Unheard => "not heard of",
                         Life::Deleting => "deleting",
                         Life::Gone => "gone",
                         Life::Up if m.lapsed => "silent",
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -89,7 +89,7 @@
         if let Some(b) = catalog.iter().flat_map(|c| &c.builds).find(|b| b.sku == m.sku) {
             m.total = Resources::new(b.cores, b.gpus, b.ram_gb);
         }
-        if m.life == Life::Booting {
+        if matches!(m.life, Life::Booting | Life::Unheard) {
             m.life = Life::Up;
             log::info!("{name}: up, {} in {}{}", m.sku, m.yard, if m.spot { ", spot" } else { "" });
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -90,7 +90,10 @@
     w.until(20_000, "another leads", |w| w.leader().is_some_and(|l| l != old));
     let s = w.spec(2, "batch", 2);
     w.submit(s, 2_000, (old + 1) % 3);
-    w.run(40_000);
+    w.run(10_000);
+    // A new leader once took machines that it had not heard of for ones that fail to boot.
+    assert!(w.workers.values().all(|x| !x.dead), "no machine was returned for being unheard");
+    w.run(30_000);
     w.nodes[old].cut_state = false;
     w.nodes[old].cut_peers = false;
     w.until_done("job-000002", 60_000);
