--- a/src/bookkeeping/reservation.rs
+++ b/src/bookkeeping/reservation.rs
@@ -23,9 +23,30 @@
     /// Shared bandwidth there is, in cores' worth.
     pub capacity: f64,
     pub buckets: Vec<Bucket>,
+    /// Places that waiting tasks count on: start, end, what they take. They hold nothing;
+    /// they only tell others that they would not be alone.
+    pub claims: Vec<(u64, u64, Resources)>,
 }
 
 impl Row {
+    /// Whether a task would fit from `start` for `length`, beside what runs and what is
+    /// claimed by then.
+    pub fn fits_later(&self, start: u64, length: u64, need: &Resources) -> bool {
+        let free = |t: u64| {
+            let mut free = self.free_at(t);
+            for (_, _, n) in self.claims.iter().filter(|(s, e, _)| *s <= t && t < *e) {
+                free -= *n;
+            }
+            free
+        };
+        free(start).fits(need)
+            && self
+                .claims
+                .iter()
+                .filter(|(s, _, _)| *s > start && *s < start + length)
+                .all(|(s, _, _)| free(*s).fits(need))
+    }
+
     /// What is free at a time not before now, when nothing more is added.
     pub fn free_at(&self, t: u64) -> Resources {
         let mut free = self.free;
@@ -43,7 +64,8 @@
 
     /// The times at which room may come up: now and every end, in order.
     pub fn starts(&self, now: u64) -> Vec<u64> {
-        let mut v: Vec<u64> = self.buckets.iter().map(|b| b.end).filter(|t| *t > now).collect();
+        let ends = self.buckets.iter().map(|b| b.end).chain(self.claims.iter().map(|c| c.1));
+        let mut v: Vec<u64> = ends.filter(|t| *t > now).collect();
         v.push(now);
         v.sort_unstable();
         v.dedup();
@@ -82,7 +104,7 @@
     fn penalized_time_sums_the_saturated_windows() {
         let need = Resources::new(1.0, 0.0, 0.0);
         let b = |end, bandwidth| Bucket { end, need, bandwidth };
-        let mut row = Row { free: Resources::new(8.0, 0.0, 0.0), capacity: 4.0, buckets: vec![] };
+        let mut row = Row { free: Resources::new(8.0, 0.0, 0.0), capacity: 4.0, ..Row::default() };
         row.add(b(1_000, 3.0));
         row.add(b(3_000, 2.0));
         // Until 1 s: 3 + 2 + 1 over 4; until 3 s: 2 + 1 fits.
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -142,6 +142,9 @@
 /// Seconds of `wind_down_s` beyond a task's `mark_cost_s`: a machine may be slow.
 pub const WIND_DOWN_EXTRA_S: f64 = 1.0;
 
+/// Milliseconds between two lines of the leader on how things stand.
+pub const STORY_PERIOD_MS: u64 = 10_000;
+
 // --- planning -------------------------------------------------------------------
 
 /// Milliseconds between planning passes (DESIGN: every 2 s to start with).
@@ -178,6 +181,8 @@
 pub const JOBS_PER_PASS: usize = 200;
 /// Tasks placed by one pass; bounds the commit that follows.
 pub const PLACES_PER_PASS: usize = 128;
+/// Later places that one pass works out for waiting tasks; bounds its time.
+pub const CLAIMS_PER_PASS: usize = 256;
 /// Milliseconds a started task is left alone before it may be stopped for others: a
 /// start counts for users when it lasts 30 s.
 pub const PREEMPT_SHIELD_MS: u64 = 30_000;
@@ -216,8 +221,12 @@
 pub const BOOT_LATE: f64 = 1.8;
 /// Times its `ready_s` after which a booting machine is deleted.
 pub const BOOT_LOST: f64 = 3.5;
-/// Seconds of idleness before a machine is returned.
-pub const IDLE_RETURN_S: f64 = 25.0;
+/// Times its `ready_s` that an idle machine is kept: to rent it again costs a boot and the
+/// fetch of its images, so that returning it pays only after about as long.
+pub const IDLE_RETURN_BOOTS: f64 = 1.0;
+/// Times `ready_s` that a task may have to wait for a machine we have before another one is
+/// rented for it.
+pub const RENT_PATIENCE_BOOTS: f64 = 0.5;
 /// Seconds paid for at least (protocol: a deleted machine costs at least 60 s): returning
 /// sooner saves nothing.
 pub const CHARGE_MIN_S: f64 = 60.0;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -66,11 +66,18 @@
     }
 
     /// Remembers what a pass found no room for.
-    pub(super) fn note_unmet(&mut self, view: &View, plan: &Plan) {
+    pub(super) fn note_unmet(&mut self, view: &View, plan: &Plan, ready_ms: u64) {
         let s = &view.snapshot;
         self.unmet.clear();
-        for (j, n) in plan.unmet.iter().enumerate().filter(|(_, n)| **n > 0) {
+        let patience = (ready_ms as f64 * c::RENT_PATIENCE_BOOTS) as u64;
+        for (j, n) in plan.unmet.iter().enumerate() {
             let job = &s.jobs[j];
+            // What will soon find a place on what we have needs no new machine.
+            let soon = plan.expected[j].iter().filter(|ms| **ms <= patience).count() as u32;
+            let n = &n.saturating_sub(soon);
+            if *n == 0 {
+                continue;
+            }
             // Within the team's limit.
             let team = &s.teams[job.team];
             let mut left = i64::from(*n);
@@ -297,12 +304,15 @@
             free_slots +=
                 spare.as_ref().map_or(0.0, |(need, _)| l.books.free(m).times(need) as f64);
         }
-        let idle_ms = (op.idle_return_s * c::MS_PER_S) as u64;
         let mut names = Vec::new();
         for m in l.books.machines.values() {
             let ready = ready_ms(&catalog, &m.sku);
             let empty = m.placements.is_empty();
             let age = now.saturating_sub(m.rented_at);
+            let idle_ms = match op.idle_return_s {
+                Some(s) => (s * c::MS_PER_S) as u64,
+                None => (ready as f64 * c::IDLE_RETURN_BOOTS) as u64,
+            };
             let back = match m.life {
                 Life::Gone | Life::Deleting | Life::Unheard => false,
                 Life::Booting => age as f64 > ready as f64 * c::BOOT_LOST,
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -54,6 +54,8 @@
     pub(super) began: u64,
     /// Last report of any worker.
     pub(super) heard_at: u64,
+    /// When the next line of the day's story is due.
+    story_at: u64,
     counter: u64,
     flight: Option<InFlight>,
     plan_at: u64,
@@ -79,6 +81,7 @@
             held: Vec::new(),
             began: now,
             heard_at: now,
+            story_at: now + c::STORY_PERIOD_MS,
             counter: 0,
             flight: None,
             plan_at: now,
@@ -97,6 +100,37 @@
         (self.term << c::ATTEMPT_BITS) + self.counter
     }
 
+    /// One line on how things stand.
+    fn tell(&self) {
+        let books = &self.books;
+        let count = |f: &dyn Fn(&Machine) -> bool| books.machines.values().filter(|m| f(m)).count();
+        let up = |m: &Machine| m.life == Life::Up && !m.lapsed;
+        let mut free = Resources::default();
+        for m in books.machines.values().filter(|m| up(m)) {
+            free += books.free(m);
+        }
+        let open = || {
+            books
+                .machines
+                .values()
+                .flat_map(|m| m.placements.values())
+                .filter(|p| p.ended.is_none())
+        };
+        log::info!(
+            "{} ordinary and {} spot machines up, {} idle, {} booting; {} tasks run, {} start, {} stop, {} wait; {} cores and {} gpus free",
+            count(&|m| up(m) && !m.spot),
+            count(&|m| up(m) && m.spot),
+            count(&|m| up(m) && m.placements.is_empty()),
+            count(&|m| m.life == Life::Booting),
+            open().filter(|p| p.running_since.is_some() && p.halt.is_none()).count(),
+            open().filter(|p| p.running_since.is_none() && p.halt.is_none()).count(),
+            open().filter(|p| p.halt.is_some()).count(),
+            books.jobs.values().map(|j| u64::from(j.waiting())).sum::<u64>(),
+            free.cpu / 1000,
+            free.gpu / 1000,
+        );
+    }
+
     /// A pass is wanted before its period is over.
     pub(super) fn plan_soon(&mut self, now: u64) {
         self.plan_at = self.plan_at.min(now.max(self.planned_at + c::PASS_GAP_MS));
@@ -155,6 +189,10 @@
         }
         self.fleet_due();
         let now = self.now.mono;
+        if let Some(l) = self.leader.as_mut().filter(|l| now >= l.story_at) {
+            l.story_at = now + c::STORY_PERIOD_MS;
+            l.tell();
+        }
         if self.leader.as_ref().is_some_and(|l| l.plan_at <= now) && self.served() {
             self.plan_pass();
         }
@@ -296,7 +334,8 @@
                 }
             }
         }
-        l.fleet.note_unmet(&view, &plan);
+        let ready = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max);
+        l.fleet.note_unmet(&view, &plan, (ready * c::MS_PER_S) as u64);
     }
 
     // --- commits -----------------------------------------------------------------
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -109,7 +109,10 @@
     pub halts: Vec<(usize, usize)>,
     /// Job, machine and time reserved for the head.
     pub reservation: Option<(usize, usize, u64)>,
-    /// Tasks per job that no machine had room for.
+    /// When waiting tasks can count on a place, per job, in milliseconds from now; tasks
+    /// that are not named can count on none.
+    pub expected: Vec<Vec<u64>>,
+    /// Tasks per job that were not placed.
     pub unmet: Vec<u32>,
 }
 
@@ -137,6 +140,7 @@
     held: Vec<Resources>,
     /// Machine, time, what is kept there.
     reserved: Option<(usize, u64, Resources)>,
+    claims: usize,
     plan: Plan,
 }
 
@@ -149,7 +153,7 @@
             let mut row = Row {
                 free: m.total,
                 capacity: m.total.cpu as f64 / crate::protocol::MILLI,
-                buckets: Vec::new(),
+                ..Row::default()
             };
             for r in &m.running {
                 row.add(Bucket { end: r.end.max(s.now + 1), need: r.need, bandwidth: r.bandwidth });
@@ -167,7 +171,8 @@
         used: s.teams.iter().map(|t| t.used).collect(),
         held: vec![Resources::default(); s.machines.len()],
         reserved: None,
-        plan: Plan::default(),
+        claims: 0,
+        plan: Plan { expected: vec![Vec::new(); s.jobs.len()], ..Plan::default() },
     };
     pass.run();
     pass.plan
@@ -199,6 +204,9 @@
                     Some(a) => {
                         self.reserved = Some((a.machine, a.start, self.s.jobs[j].need));
                         self.plan.reservation = Some((j, a.machine, a.start));
+                        self.plan.expected[j].push(a.start - self.s.now);
+                        let claim = (a.start, a.start + a.length, self.s.jobs[j].need);
+                        self.rows[a.machine].claims.push(claim);
                         break;
                     }
                     // At its limit, or no machine for it yet: skipped.
@@ -271,6 +279,7 @@
     fn at(&self, j: usize, m: usize, start: u64) -> Option<Allocation> {
         let job = &self.s.jobs[j];
         let row = &self.rows[m];
+        let now = self.s.now;
         let mut free = row.free_at(start);
         if job.rank > Rank::High {
             free -= self.held[m];
@@ -278,11 +287,13 @@
         if !free.fits(&job.need) {
             return None;
         }
-        let now = self.s.now;
         let fetch = self.fetch_ms(j, m).saturating_sub(start - now);
         let run = job.run_ms.max(1);
         let penalized = row.penalized_ms(start, run + fetch, job.bandwidth);
         let length = run + fetch + penalized as u64;
+        if start > now && !row.fits_later(start, length, &job.need) {
+            return None;
+        }
         if let Some(taken) = self.s.machines[m].taken_in {
             if start + length > now + taken {
                 return None;
@@ -392,8 +403,11 @@
     /// Jobs that start now without delaying the reservation, by penalty factor, then length.
     fn backfill(&mut self, rest: &[usize]) {
         // One computed choice per job, made anew where its machine changed.
-        let mut choice: Vec<(usize, Option<Allocation>)> =
-            rest.iter().map(|j| (*j, self.start_now(*j))).collect();
+        let mut choice: Vec<(usize, Option<Allocation>)> = Vec::with_capacity(rest.len());
+        for &j in rest {
+            let a = self.start_now(j);
+            choice.push((j, a));
+        }
         while !self.full() {
             let best =
                 choice.iter().filter_map(|(j, a)| a.map(|a| (*j, a))).min_by(|(_, a), (_, b)| {
@@ -402,22 +416,35 @@
             let Some((j, a)) = best else { return };
             self.place(j, a);
             let team = self.s.jobs[j].team;
-            for (k, old) in &mut choice {
-                let stale = *k == j
-                    || self.s.jobs[*k].team == team
-                    || old.is_some_and(|o| o.machine == a.machine);
-                if stale && old.is_some() {
-                    *old = self.start_now(*k);
+            for entry in &mut choice {
+                let (k, old) = *entry;
+                let Some(old) = old else { continue };
+                if k == j || self.s.jobs[k].team == team || old.machine == a.machine {
+                    entry.1 = self.start_now(k);
                 }
             }
         }
     }
 
-    fn start_now(&self, j: usize) -> Option<Allocation> {
-        if self.waiting[j] == 0 {
-            return None;
+    /// The allocation of the job's next task that starts now, if that is its best. Tasks
+    /// that do better to wait, for a machine that holds their image, say, claim their place,
+    /// so that not all of them count on the same one.
+    fn start_now(&mut self, j: usize) -> Option<Allocation> {
+        let now = self.s.now;
+        let need = self.s.jobs[j].need;
+        while (self.plan.expected[j].len() as u32) < self.waiting[j] {
+            let a = self.allocate(j, true)?;
+            if a.start <= now {
+                return Some(a);
+            }
+            if self.claims >= c::CLAIMS_PER_PASS {
+                return None;
+            }
+            self.claims += 1;
+            self.plan.expected[j].push(a.start - now);
+            self.rows[a.machine].claims.push((a.start, a.start + a.length, need));
         }
-        self.allocate(j, true).filter(|a| a.start <= self.s.now)
+        None
     }
 
     /// Stops tasks of lower ranks, or of teams beyond their guarantee, where a higher claim
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -177,7 +177,8 @@
     pub pass_period_ms: u64,
     pub duty_bandwidth: Vec<(String, Bandwidth)>,
     pub headroom_share: f64,
-    pub idle_return_s: f64,
+    /// None: as long as a boot takes, by type.
+    pub idle_return_s: Option<f64>,
     pub rent_spot: bool,
 }
 
@@ -188,7 +189,7 @@
             pass_period_ms: c::PASS_PERIOD_MS,
             duty_bandwidth: Vec::new(),
             headroom_share: c::HEADROOM_SHARE,
-            idle_return_s: c::IDLE_RETURN_S,
+            idle_return_s: None,
             rent_spot: true,
         }
     }
@@ -236,7 +237,7 @@
             if !(v.is_finite() && v >= 0.0) {
                 return Err("fleet.idle_return_s: must not be negative".into());
             }
-            o.idle_return_s = v;
+            o.idle_return_s = Some(v);
         }
         o.rent_spot = fleet.rent_spot.unwrap_or(o.rent_spot);
         Ok(o)
