--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -109,6 +109,9 @@
     pub urgent: bool,
     /// Set aside: gets no new tasks and is returned when empty.
     pub draining: bool,
+    /// Being emptied because the others have room for its work; opened again when they
+    /// have not.
+    pub closing: bool,
     /// Recent failures: when, job.
     pub failures: Vec<(u64, Name)>,
     pub idle_since: Option<u64>,
@@ -143,6 +146,7 @@
             dirty: false,
             urgent: false,
             draining: false,
+            closing: false,
             failures: Vec::new(),
             idle_since: None,
             successes: 0,
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -232,6 +232,14 @@
 pub const CHARGE_MIN_S: f64 = 60.0;
 /// Share of the machines in use that is kept free for work to come.
 pub const HEADROOM_SHARE: f64 = 0.08;
+/// Machines' worth of room kept free beside the share, so that small fleets keep some too.
+pub const HEADROOM_MACHINES: f64 = 0.5;
+/// Milliseconds for which there must be too much room before a machine is emptied.
+pub const ROOMY_MS: u64 = 8_000;
+/// Load up to which a machine with services is emptied by moving them.
+pub const THIN_SHARE: f64 = 0.26;
+/// Milliseconds between two moves of services: each is a short gap for its users.
+pub const MOVE_GAP_MS: u64 = 3_000;
 /// Milliseconds between two looks at the size of the fleet.
 pub const FLEET_PERIOD_MS: u64 = 1_000;
 /// Milliseconds a machine may be silent, once its tasks are settled, before it is deleted.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -53,6 +53,10 @@
     /// Arrivals of service tasks: when, how many.
     arrivals: VecDeque<(u64, u32)>,
     seen_arrival: u64,
+    /// Since when there has been more room than is wanted.
+    roomy_since: Option<u64>,
+    /// When the next service may be moved.
+    move_at: u64,
     cloud_at: u64,
 }
 
@@ -66,10 +70,11 @@
     }
 
     /// Remembers what a pass found no room for.
-    pub(super) fn note_unmet(&mut self, view: &View, plan: &Plan, ready_ms: u64) {
+    pub(super) fn note_unmet(&mut self, view: &View, plan: &Plan, catalog: &Catalog) {
+        let ready_ms = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max) * c::MS_PER_S;
         let s = &view.snapshot;
         self.unmet.clear();
-        let patience = (ready_ms as f64 * c::RENT_PATIENCE_BOOTS) as u64;
+        let patience = (ready_ms * c::RENT_PATIENCE_BOOTS) as u64;
         for (j, n) in plan.unmet.iter().enumerate() {
             let job = &s.jobs[j];
             // What will soon find a place on what we have needs no new machine.
@@ -159,6 +164,8 @@
         if now >= l.fleet.look_at {
             l.fleet.look_at = now + c::FLEET_PERIOD_MS;
             self.forget_gone();
+            self.consolidate();
+            self.move_services();
             self.return_machines();
             if self.served() {
                 self.rent_machines();
@@ -287,6 +294,135 @@
         l.books.machines.retain(|_, m| m.life != Life::Gone || !m.placements.is_empty() || m.dirty);
     }
 
+    /// Empties the dearest thinly used machine when the others have room for its work and
+    /// for work to come; opens such machines again when that is no longer so.
+    fn consolidate(&mut self) {
+        let now = self.now.mono;
+        let op = self.op.clone();
+        let Some(catalog) = self.catalog.clone() else { return };
+        let Some(l) = self.leader.as_mut() else { return };
+        let spare = l.spare_slots(now, &catalog);
+        let books = &l.books;
+        let load = |m: &Machine| {
+            let mut used = m.total;
+            used -= books.free(m);
+            used.share_of(&m.total)
+        };
+        let open: Vec<&Machine> = books.machines.values().filter(|m| usable(m)).collect();
+        let free: f64 = open.iter().map(|m| 1.0 - load(m)).sum();
+        let busy: f64 = open.iter().map(|m| load(m)).sum();
+        let headroom = busy * op.headroom_share + c::HEADROOM_MACHINES;
+        let short = !l.fleet.unmet.is_empty() || free < headroom;
+        if short {
+            l.fleet.roomy_since = None;
+            // The fullest first: it has the most work that need not move.
+            let again = books
+                .machines
+                .values()
+                .filter(|m| m.closing && m.life == Life::Up && !m.draining)
+                .max_by(|a, b| load(a).total_cmp(&load(b)))
+                .map(|m| m.name.clone());
+            if let Some(m) = again.and_then(|n| l.books.machines.get_mut(&n)) {
+                log::debug!("{}: opened again", m.name);
+                m.closing = false;
+                l.plan_soon(now);
+            }
+            return;
+        }
+        let ordinary_free = |except: &Name| -> f64 {
+            let Some((need, _)) = &spare else { return f64::MAX };
+            let mut n = 0.0;
+            for m in open.iter().filter(|m| !m.spot && m.name != *except) {
+                let mut room = books.free(m);
+                for ((uid, _), p) in &m.placements {
+                    if p.ended.is_none() && !books.is_standing(uid) {
+                        if let Some(j) = books.jobs.get(uid) {
+                            room += j.need;
+                        }
+                    }
+                }
+                n += room.times(need) as f64;
+            }
+            n
+        };
+        let services = |m: &Machine| {
+            m.placements
+                .iter()
+                .filter(|((uid, _), p)| p.ended.is_none() && books.is_standing(uid))
+                .count() as f64
+        };
+        let candidate = open
+            .iter()
+            .filter(|m| {
+                let share = load(m);
+                let thin = services(m) == 0.0 || share <= c::THIN_SHARE;
+                let others = free - (1.0 - share);
+                let old = m.up_at.is_some_and(|t| now > t + ready_ms(&catalog, &m.sku));
+                let want = spare.as_ref().map_or(0.0, |(_, w)| *w);
+                let room = m.spot || ordinary_free(&m.name) >= want + services(m);
+                thin && old && room && others >= share + headroom
+            })
+            .min_by(|a, b| {
+                // The dearest kind first, then the emptiest.
+                a.spot.cmp(&b.spot).then(load(a).total_cmp(&load(b)))
+            })
+            .map(|m| m.name.clone());
+        let Some(name) = candidate else {
+            l.fleet.roomy_since = None;
+            return;
+        };
+        let since = *l.fleet.roomy_since.get_or_insert(now);
+        if now < since + c::ROOMY_MS {
+            return;
+        }
+        l.fleet.roomy_since = None;
+        if let Some(m) = l.books.machines.get_mut(&name) {
+            log::debug!("{name}: closing, the others have room for its work");
+            m.closing = true;
+        }
+    }
+
+    /// Moves services off machines that are being emptied, one at a time, to where their
+    /// image is.
+    fn move_services(&mut self) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else { return };
+        if now < l.fleet.move_at {
+            return;
+        }
+        let books = &l.books;
+        let mut chosen = None;
+        for m in books.machines.values().filter(|m| m.closing && m.life == Life::Up) {
+            for (id, p) in &m.placements {
+                let Some(job) = books.jobs.get(&id.0) else { continue };
+                let Some(spec) = job.spec.as_ref().filter(|s| s.shape == Shape::Standing) else {
+                    continue;
+                };
+                if p.ended.is_some() || p.halt.is_some() || p.running_since.is_none() {
+                    continue;
+                }
+                let target = books.machines.values().any(|t| {
+                    usable(t)
+                        && t.yard == m.yard
+                        && (!t.spot || spec.lendables)
+                        && t.sku == m.sku
+                        && t.kits.iter().any(|(k, _)| *k == spec.kit)
+                        && books.free(t).fits(&job.need)
+                });
+                if target {
+                    chosen = Some((m.name.clone(), id.clone()));
+                }
+            }
+        }
+        let Some((name, id)) = chosen else { return };
+        l.fleet.move_at = now + c::MOVE_GAP_MS;
+        if let Some(p) = l.books.machines.get_mut(&name).and_then(|m| m.placements.get_mut(&id)) {
+            log::debug!("{}/{}: moves off {name}", id.0, id.1);
+            p.halt = Some(Halt::MakeRoom);
+            p.halt_at = now;
+        }
+    }
+
     // --- returning -----------------------------------------------------------------
 
     fn return_machines(&mut self) {
@@ -320,6 +456,7 @@
                     m.answered_at.is_none_or(|t| now > t + c::SILENT_DELETE_MS) || m.draining
                 }
                 Life::Up if m.draining => empty,
+                Life::Up if m.closing => empty && age as f64 >= c::CHARGE_MIN_S * c::MS_PER_S,
                 Life::Up if !empty || m.recall_at.is_some() => false,
                 Life::Up => {
                     let idle = m.idle_since.is_some_and(|t| now >= t + idle_ms);
@@ -643,7 +780,7 @@
 }
 
 fn usable(m: &Machine) -> bool {
-    m.life == Life::Up && !m.draining && !m.lapsed && m.recall_at.is_none()
+    m.life == Life::Up && !m.draining && !m.closing && !m.lapsed && m.recall_at.is_none()
 }
 
 fn total(b: &Build) -> Resources {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -334,8 +334,7 @@
                 }
             }
         }
-        let ready = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max);
-        l.fleet.note_unmet(&view, &plan, (ready * c::MS_PER_S) as u64);
+        l.fleet.note_unmet(&view, &plan, &catalog);
     }
 
     // --- commits -----------------------------------------------------------------
@@ -712,6 +711,7 @@
             };
             let open = m.life == Life::Up
                 && !m.draining
+                && !m.closing
                 && !m.lapsed
                 && m.reported_at.is_some_and(|t| now - t <= silent);
             if !open {
