--- a/src/constants.rs
+++ b/src/constants.rs
@@ -237,7 +237,7 @@
 /// Milliseconds for which there must be too much room before a machine is emptied.
 pub const ROOMY_MS: u64 = 8_000;
 /// Load up to which a machine with services is emptied by moving them.
-pub const THIN_SHARE: f64 = 0.26;
+pub const THIN_SHARE: f64 = 0.5;
 /// Milliseconds between two moves of services: each is a short gap for its users.
 pub const MOVE_GAP_MS: u64 = 3_000;
 /// Milliseconds between two looks at the size of the fleet.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -52,6 +52,8 @@
     unmet: Vec<Unmet>,
     /// Arrivals of service tasks: when, how many.
     arrivals: VecDeque<(u64, u32)>,
+    /// Arrivals of batch work: when, milliseconds times the share of a machine it takes.
+    work: VecDeque<(u64, f64)>,
     seen_arrival: u64,
     /// Since when there has been more room than is wanted.
     roomy_since: Option<u64>,
@@ -163,6 +165,9 @@
         };
         if now >= l.fleet.look_at {
             l.fleet.look_at = now + c::FLEET_PERIOD_MS;
+            if let Some(catalog) = &self.catalog {
+                l.note_arrivals(self.now, catalog);
+            }
             self.forget_gone();
             self.consolidate();
             self.move_services();
@@ -311,8 +316,12 @@
         let open: Vec<&Machine> = books.machines.values().filter(|m| usable(m)).collect();
         let free: f64 = open.iter().map(|m| 1.0 - load(m)).sum();
         let busy: f64 = open.iter().map(|m| load(m)).sum();
-        let headroom = busy * op.headroom_share + c::HEADROOM_MACHINES;
-        let short = !l.fleet.unmet.is_empty() || free < headroom;
+        let batch_now: f64 = open.iter().map(|m| load(m) * (1.0 - standing_share(books, m))).sum();
+        // What comes at the usual rate may be more than what runs at this moment.
+        let lull = (l.batch_machines(now) - batch_now).max(0.0);
+        let headroom = (busy + lull) * op.headroom_share + lull + c::HEADROOM_MACHINES;
+        let early = now < l.began + c::ARRIVAL_WINDOW_MS / 2;
+        let short = !l.fleet.unmet.is_empty() || free < headroom || early;
         if short {
             l.fleet.roomy_since = None;
             // The fullest first: it has the most work that need not move.
@@ -747,23 +756,53 @@
 }
 
 impl Leader {
-    /// Room to keep for services: what one of their tasks takes, and how many are expected
-    /// to arrive while a machine boots.
-    fn spare_slots(&mut self, now: u64, catalog: &Catalog) -> Option<(Resources, f64)> {
-        let f = &mut self.fleet;
-        let from = f.seen_arrival;
+    /// Takes note of jobs that came since the last look. What a new leader finds counts at
+    /// the time of day that it was accepted.
+    fn note_arrivals(&mut self, now: Clock, catalog: &Catalog) {
+        let Some(whole) = catalog.builds.iter().map(total).max_by_key(|t| (t.gpu, t.cpu)) else {
+            return;
+        };
+        let from = self.fleet.seen_arrival;
+        let mut services = Vec::new();
+        let mut work = Vec::new();
+        let mut last = from;
         for (stamp, uid) in self.books.queue.range(from + 1..) {
-            let Some(job) = self.books.jobs.get(uid) else {
+            last = *stamp;
+            let Some(job) = self.books.jobs.get(uid) else { continue };
+            let Some(spec) = &job.spec else { continue };
+            let ago = if from == 0 { now.wall.saturating_sub(job.at_wall) } else { 0 };
+            let at = now.mono.saturating_sub(ago);
+            if ago > c::ARRIVAL_WINDOW_MS {
                 continue;
-            };
-            if from > 0 && self.books.is_standing(uid) {
-                f.arrivals.push_back((now, job.loads));
             }
-            f.seen_arrival = *stamp;
-        }
-        while f.arrivals.front().is_some_and(|(t, _)| now > t + c::ARRIVAL_WINDOW_MS) {
-            f.arrivals.pop_front();
+            if spec.shape == Shape::Standing {
+                services.push((at, job.loads));
+            } else {
+                let each = self.run_ms(spec) as f64 * job.need.share_of(&whole);
+                work.push((at, f64::from(job.loads) * each));
+            }
         }
+        let f = &mut self.fleet;
+        f.seen_arrival = last;
+        f.arrivals.extend(services);
+        f.work.extend(work);
+        f.arrivals.retain(|(t, _)| now.mono <= t + c::ARRIVAL_WINDOW_MS);
+        f.work.retain(|(t, _)| now.mono <= t + c::ARRIVAL_WINDOW_MS);
+    }
+
+    /// Over how long arrivals have been watched, in milliseconds.
+    fn watched_ms(&self, now: u64) -> f64 {
+        (now - self.began).clamp(c::ARRIVAL_WINDOW_MS / 2, c::ARRIVAL_WINDOW_MS) as f64
+    }
+
+    /// Machines that batch work keeps busy at the rate at which it has been coming.
+    fn batch_machines(&self, now: u64) -> f64 {
+        self.fleet.work.iter().map(|(_, w)| w).sum::<f64>() / self.watched_ms(now)
+    }
+
+    /// Room to keep for services: what one of their tasks takes, and how many are expected
+    /// to arrive while a machine boots.
+    fn spare_slots(&self, now: u64, catalog: &Catalog) -> Option<(Resources, f64)> {
         let need = self
             .books
             .jobs
@@ -771,11 +810,29 @@
             .filter(|j| j.spec.as_ref().is_some_and(|s| s.shape == Shape::Standing))
             .max_by_key(|j| (j.stamp, j.uid.clone()))?
             .need;
-        let window =
-            (now - self.began).clamp(c::ARRIVAL_WINDOW_MS / 4, c::ARRIVAL_WINDOW_MS) as f64;
         let tasks: u32 = self.fleet.arrivals.iter().map(|(_, n)| n).sum();
         let ready = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max) * c::MS_PER_S;
-        Some((need, (f64::from(tasks) / window * ready).ceil() + c::SPARE_SERVICE_SLOTS))
+        let expected = (f64::from(tasks) / self.watched_ms(now) * ready).ceil();
+        Some((need, expected + c::SPARE_SERVICE_SLOTS))
+    }
+}
+
+/// The part of a machine's load that services make up.
+fn standing_share(books: &Books, m: &Machine) -> f64 {
+    let (mut standing, mut all) = (0.0, 0.0);
+    for ((uid, _), p) in &m.placements {
+        if let (None, Some(j)) = (p.ended, books.jobs.get(uid)) {
+            let share = j.need.share_of(&m.total);
+            all += share;
+            if books.is_standing(uid) {
+                standing += share;
+            }
+        }
+    }
+    if all > 0.0 {
+        standing / all
+    } else {
+        0.0
     }
 }
 
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -147,7 +147,7 @@
 
     /// The run time to expect of a job's task, in milliseconds: the owner's guess, corrected
     /// by what its class was seen to take.
-    fn run_ms(&self, spec: &Spec) -> u64 {
+    pub(super) fn run_ms(&self, spec: &Spec) -> u64 {
         if spec.shape == Shape::Standing {
             return (c::STANDING_REF_S * c::MS_PER_S) as u64;
         }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -132,6 +132,8 @@
     s: &'a Snapshot,
     rows: Vec<Row>,
     slots: Vec<usize>,
+    /// Service tasks on each machine.
+    standing: Vec<i64>,
     kits: Vec<Vec<(usize, u64)>>,
     in_zone: Vec<Vec<u32>>,
     waiting: Vec<u32>,
@@ -165,6 +167,11 @@
         s,
         rows,
         slots: s.machines.iter().map(|m| m.slots).collect(),
+        standing: s
+            .machines
+            .iter()
+            .map(|m| m.running.iter().filter(|r| r.standing).count() as i64)
+            .collect(),
         kits: s.machines.iter().map(|m| m.kits.clone()).collect(),
         in_zone: s.jobs.iter().map(|j| j.in_zone.clone()).collect(),
         waiting: s.jobs.iter().map(|j| j.waiting).collect(),
@@ -314,16 +321,25 @@
         Some(Allocation { machine: m, start, length, factor, slowdown })
     }
 
-    /// Order among places that are alike: spot first for who may use it (it is cheaper and
-    /// of no use to the others), then the fuller machine, so that others fall empty; for
-    /// services the zone with fewer replicas comes before all.
-    fn taste(&self, j: usize, m: usize) -> (u32, bool, i64, usize) {
+    /// Order among places that are alike. Services gather where services are, in the zone
+    /// with fewer replicas of the job; other work fills the holes beside them, which are paid
+    /// for anyway, then the kind of machine that it alone can use, the fullest first, so that
+    /// whole machines fall empty.
+    fn taste(&self, j: usize, m: usize) -> (u32, u8, i64, i64, usize) {
         let job = &self.s.jobs[j];
         let machine = &self.s.machines[m];
-        let zone = if job.standing { self.in_zone[j][machine.zone] } else { 0 };
         let free = self.rows[m].free;
         let rest = free.gpu * 1_000 + free.cpu;
-        (zone, job.spot_ok != machine.spot, rest, m)
+        let standing = self.standing[m];
+        if job.standing {
+            return (self.in_zone[j][machine.zone], u8::from(machine.spot), -standing, rest, m);
+        }
+        let kind = match (standing > 0, job.spot_ok == machine.spot) {
+            (true, _) => 0,
+            (false, true) => 1,
+            (false, false) => 2,
+        };
+        (0, kind, rest, 0, m)
     }
 
     /// LessConsume Threshold for every threshold; the allocation of least slowdown.
@@ -391,6 +407,7 @@
             bandwidth: job.bandwidth,
         });
         self.slots[m] -= 1;
+        self.standing[m] += i64::from(job.standing);
         if !self.kits[m].iter().any(|(k, _)| *k == job.kit) {
             self.kits[m].push((job.kit, fetch));
         }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -177,7 +177,14 @@
                 self.own_commit(&commit, done.ledger_rev);
                 self.metrics.accepted += 1;
                 let _ = self.metrics.submit_ms.record(self.now.mono - at);
-                log::debug!("{}: accepted, {} tasks of {}", spec.uid, spec.loads, spec.duty);
+                log::debug!(
+                    "{}: accepted, {} tasks of {}, {} of {} GB",
+                    spec.uid,
+                    spec.loads,
+                    spec.duty,
+                    spec.kit,
+                    spec.size_gb
+                );
                 self.answer_json(asker, 201, &Accepted { uid: &spec.uid, status: Status::Queued });
             }
             Some((409, _)) => {
