Work that may use spot waits longer before an ordinary machine is rented for it

Cause: bursts of arrays were met with ordinary machines at over twice the price, up only when the burst was over.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -33,6 +33,8 @@
     yard: Option<String>,
     /// Tasks, and slots that are wanted for them.
     slots: f64,
+    /// Of these, the slots worth an ordinary machine.
+    dear: f64,
     in_yard: Vec<(String, u32)>,
     zone_cap: u32,
 }
@@ -76,12 +78,22 @@
         let ready_ms = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max) * c::MS_PER_S;
         let s = &view.snapshot;
         self.unmet.clear();
-        let patience = (ready_ms * c::RENT_PATIENCE_BOOTS) as u64;
+        let patience = ready_ms * c::RENT_PATIENCE_BOOTS;
+        let dearer = catalog
+            .builds
+            .iter()
+            .filter(|b| b.low_price > 0.0)
+            .map(|b| b.rate / b.low_price)
+            .fold(1.0, f64::max);
         for (j, n) in plan.unmet.iter().enumerate() {
             let job = &s.jobs[j];
             // What will soon find a place on what we have needs no new machine.
-            let soon = plan.expected[j].iter().filter(|ms| **ms <= patience).count() as u32;
-            let n = &n.saturating_sub(soon);
+            let within =
+                |p: f64| plan.expected[j].iter().filter(|ms| **ms as f64 <= p).count() as u32;
+            // Work that may use spot machines waits the longer for ordinary ones, the more
+            // those cost beyond them.
+            let dear = n.saturating_sub(within(patience * dearer));
+            let n = &n.saturating_sub(within(patience));
             if *n == 0 {
                 continue;
             }
@@ -107,6 +119,7 @@
                 skus: job.skus.clone(),
                 yard: job.zone.map(|z| view.zones[z].clone()),
                 slots: left as f64 * per_task,
+                dear: left.min(i64::from(dear)) as f64 * per_task,
                 in_yard: view.zones.iter().cloned().zip(job.in_zone.iter().copied()).collect(),
                 zone_cap: job.zone_cap,
             });
@@ -601,6 +614,7 @@
                     skus: vec![true; catalog.builds.len()],
                     yard: None,
                     slots: missing,
+                    dear: missing,
                     in_yard: vec![],
                     zone_cap: u32::MAX,
                 });
@@ -641,6 +655,9 @@
                             if spot && !(u.spot_ok && rent_spot) {
                                 continue;
                             }
+                            if !spot && u.spot_ok && slots <= u.slots - u.dear {
+                                continue;
+                            }
                             let kind = (b.sku.clone(), yard.clone(), spot);
                             if l.fleet.no_capacity.get(&kind).is_some_and(|t| now < *t) {
                                 continue;
