--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -826,15 +826,26 @@
             let avoid = (0..v.machines.len())
                 .filter(|m| !job.suspect() && job.failed_on.contains(&v.machines[*m]))
                 .collect();
+            let waited_ms = clock.wall.saturating_sub(job.at_wall);
+            let run_ms = l.run_ms(spec);
+            let aims = cfg.params.objectives.iter().filter(|o| {
+                o.kind == "finished" && o.class.as_deref().is_none_or(|class| class == spec.duty)
+            });
+            let missed = aims
+                .filter_map(|o| o.within_s)
+                .chain(spec.due_s)
+                .filter(|s| (waited_ms + run_ms) as f64 > s * c::MS_PER_S)
+                .count();
             v.snapshot.jobs.push(JobView {
                 rank: spec.rank,
                 team,
                 standing: spec.shape == Shape::Standing,
                 arrival: job.stamp,
-                waited_ms: clock.wall.saturating_sub(job.at_wall),
+                waited_ms,
+                missed,
                 need: job.need,
                 bandwidth: spec.cores * op.bandwidth(&spec.duty),
-                run_ms: l.run_ms(spec),
+                run_ms,
                 skus,
                 zone,
                 spot_ok: spec.lendables,
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -60,6 +60,9 @@
     pub standing: bool,
     pub arrival: u64,
     pub waited_ms: u64,
+    /// How many of the times by which it should be complete can't be met any more. Jobs
+    /// that can still be in time go before those that can't.
+    pub missed: usize,
     pub need: Resources,
     pub bandwidth: f64,
     /// Expected run time of a task in milliseconds, without its image.
@@ -190,7 +193,7 @@
         let mut order: Vec<usize> = (0..self.s.jobs.len()).collect();
         order.sort_by_key(|j| {
             let job = &self.s.jobs[*j];
-            (job.rank, !self.within_guarantee(*j), job.arrival)
+            (job.rank, !self.within_guarantee(*j), job.missed, job.arrival)
         });
         order.truncate(c::JOBS_PER_PASS);
         self.make_room(&order);
@@ -427,8 +430,12 @@
         }
         while !self.full() {
             let best =
-                choice.iter().filter_map(|(j, a)| a.map(|a| (*j, a))).min_by(|(_, a), (_, b)| {
-                    a.factor.total_cmp(&b.factor).then(a.length.cmp(&b.length))
+                choice.iter().filter_map(|(j, a)| a.map(|a| (*j, a))).min_by(|(j, a), (k, b)| {
+                    let missed = |j: &usize| self.s.jobs[*j].missed;
+                    missed(j)
+                        .cmp(&missed(k))
+                        .then(a.factor.total_cmp(&b.factor))
+                        .then(a.length.cmp(&b.length))
                 });
             let Some((j, a)) = best else { return };
             self.place(j, a);
