Teams' shares grow for heads; later starts on the same machine; planner tests

Cause: the design's team split was missing, and an allocation on a machine with room now was never compared with a later one there, so thresholds could not choose to wait out saturation; an image that nobody fetches was taken to arrive by itself.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -128,12 +128,11 @@
     pub kits: Vec<(String, f64)>,
 }
 
-/// A team's share of the machines, in thousandths of cores and GPUs.
+/// The teams' shares of the machines, in thousandths of the fleet.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ShareRec {
     pub term: u64,
-    /// Team, controller it is given to, cores, GPUs.
-    pub teams: Vec<(String, String, i64, i64)>,
+    pub teams: Vec<(String, i64)>,
 }
 
 /// A set of tasks, a bit each.
--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -111,6 +111,7 @@
                 let rec: Option<JobRec> = serde_json::from_str(data.get()).ok();
                 self.jobs.get(u).map(|s| s.value.stage) == rec.map(|r| r.stage)
             }
+            Some(Key::Shares) => same(self.shares.as_ref().map(|s| &s.value), data),
             Some(Key::Catalog) => true,
             _ => false,
         }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -63,7 +63,9 @@
     done_at: u64,
     pub(super) runs: BTreeMap<String, RunStats>,
     pub(super) reservation: Option<(Name, Name)>,
-    shares_written: Option<ShareRec>,
+    /// The teams' shares, in thousandths of the fleet, and whether they are in the store.
+    pub(super) shares: Vec<i64>,
+    shares_written: bool,
     catalog_written: bool,
 }
 
@@ -89,7 +91,8 @@
             done_at: now,
             runs: BTreeMap::new(),
             reservation: None,
-            shares_written: None,
+            shares: Vec::new(),
+            shares_written: true,
             catalog_written: false,
         }
     }
@@ -212,7 +215,10 @@
             }
             l.books = Books::from_replica(&self.replica, now);
             l.ready = true;
-            l.shares_written = None;
+            if let Some(rec) = &self.replica.shares {
+                let of = |t: &str| rec.value.teams.iter().find(|(n, _)| n == t).map(|(_, s)| *s);
+                l.shares = self.cfg.params.teams.iter().map(|t| of(&t.name).unwrap_or(0)).collect();
+            }
             l.plan_at = now;
             log::info!(
                 "term {}: {} live jobs, {} machines with placements",
@@ -311,7 +317,15 @@
         };
         l.planned_at = now;
         l.plan_at = now + op.pass_period_ms;
-        let view = View::build(l, &cfg, &op, &catalog, Clock { mono: now, wall });
+        let mut view = View::build(l, &cfg, &op, &catalog, Clock { mono: now, wall });
+        let shares = planner::move_shares(&view.snapshot, l.shares.clone());
+        if shares != l.shares {
+            l.shares = shares;
+            l.shares_written = false;
+        }
+        for (team, share) in view.snapshot.teams.iter_mut().zip(&l.shares) {
+            team.share = *share;
+        }
         let plan = planner::plan(&view.snapshot);
         l.reservation =
             plan.reservation.map(|(j, m, _)| (view.jobs[j].clone(), view.machines[m].clone()));
@@ -476,6 +490,13 @@
                 l.catalog_written = true;
             }
         }
+        if batch && writes.len() < max_ops && ifs.len() < max_ifs && !l.shares_written {
+            let names = self.cfg.params.teams.iter().map(|t| t.name.clone());
+            let rec = ShareRec { term: l.term, teams: names.zip(l.shares.clone()).collect() };
+            ifs.insert(shares_key(), self.replica.stamp(&shares_key()));
+            writes.push(Write::put(shares_key(), &rec));
+            l.shares_written = true;
+        }
         while batch && writes.len() < max_ops && ifs.len() < max_ifs {
             let Some((key, stamp)) = l.books.garbage.pop() else {
                 break;
@@ -865,7 +886,7 @@
                 used: books.usage.get(&t.name).copied().unwrap_or_default(),
                 guarantee: Resources::new(t.cpus, t.gpus, 0.0),
                 limit: Resources::new(t.cpus_max, t.gpus_max, 0.0),
-                share: Resources::default(),
+                share: 0,
             });
         }
         v
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -89,8 +89,8 @@
     /// 0 in a dimension: none.
     pub guarantee: Resources,
     pub limit: Resources,
-    /// The share of the machines it may fill while others wait; grown for its head.
-    pub share: Resources,
+    /// The share of the machines that it may fill while others wait, in thousandths.
+    pub share: i64,
 }
 
 /// All that a pass looks at.
@@ -141,6 +141,8 @@
     in_zone: Vec<Vec<u32>>,
     waiting: Vec<u32>,
     used: Vec<Resources>,
+    /// All machines together.
+    total: Resources,
     /// Room on machines that is being made for higher ranks.
     held: Vec<Resources>,
     /// Machine, time, what is kept there.
@@ -179,6 +181,7 @@
         in_zone: s.jobs.iter().map(|j| j.in_zone.clone()).collect(),
         waiting: s.jobs.iter().map(|j| j.waiting).collect(),
         used: s.teams.iter().map(|t| t.used).collect(),
+        total: all_machines(s),
         held: vec![Resources::default(); s.machines.len()],
         reserved: None,
         claims: 0,
@@ -193,7 +196,7 @@
         let mut order: Vec<usize> = (0..self.s.jobs.len()).collect();
         order.sort_by_key(|j| {
             let job = &self.s.jobs[*j];
-            (job.rank, !self.within_guarantee(*j), job.missed, job.arrival)
+            (job.rank, !self.within_guarantee(*j), self.over_share(*j), job.missed, job.arrival)
         });
         order.truncate(c::JOBS_PER_PASS);
         self.make_room(&order);
@@ -235,6 +238,14 @@
         self.plan.places.len() >= c::PLACES_PER_PASS
     }
 
+    /// Whether its team has filled its share, and so borrows from here on.
+    fn over_share(&self, j: usize) -> bool {
+        let team = self.s.jobs[j].team;
+        let mut with = self.used[team];
+        with += self.s.jobs[j].need;
+        thousandths(&with, &self.total) > self.s.teams[team].share
+    }
+
     fn within_guarantee(&self, j: usize) -> bool {
         let team = &self.s.teams[self.s.jobs[j].team];
         let mut with = self.used[self.s.jobs[j].team];
@@ -273,10 +284,11 @@
         (limit.cpu == 0 || with.cpu <= limit.cpu) && (limit.gpu == 0 || with.gpu <= limit.gpu)
     }
 
-    fn fetch_ms(&self, j: usize, m: usize) -> u64 {
+    /// Milliseconds for which a task that starts then waits for its image.
+    fn fetch_ms(&self, j: usize, m: usize, start: u64) -> u64 {
         let job = &self.s.jobs[j];
         match self.kits[m].iter().find(|(k, _)| *k == job.kit) {
-            Some((_, in_ms)) => *in_ms,
+            Some((_, in_ms)) => in_ms.saturating_sub(start - self.s.now),
             None => {
                 // Images fetched at the same time share the rate.
                 let others = self.kits[m].iter().map(|(_, ms)| *ms).max().unwrap_or(0);
@@ -297,7 +309,7 @@
         if !free.fits(&job.need) {
             return None;
         }
-        let fetch = self.fetch_ms(j, m).saturating_sub(start - now);
+        let fetch = self.fetch_ms(j, m, start);
         let run = job.run_ms.max(1);
         let penalized = row.penalized_ms(start, run + fetch, job.bandwidth);
         let length = run + fetch + penalized as u64;
@@ -354,17 +366,18 @@
         let mut machines: Vec<usize> =
             (0..self.s.machines.len()).filter(|m| self.allowed(j, *m)).collect();
         machines.sort_by_key(|m| self.taste(j, *m));
-        // All allocations: at each machine now, else at each time that room comes up.
+        // At each machine the first time that there is room, and later ones as long as they
+        // lower the factor.
         let mut all: Vec<Allocation> = Vec::new();
         for m in machines {
-            if let Some(a) = self.at(j, m, now) {
+            let mut last = f64::INFINITY;
+            let times = if may_wait { self.rows[m].starts(now) } else { vec![now] };
+            for t in times {
+                let Some(a) = self.at(j, m, t).filter(|a| a.factor < last) else { continue };
+                last = a.factor;
                 all.push(a);
-            } else if may_wait {
-                for t in self.rows[m].starts(now) {
-                    if let Some(a) = self.at(j, m, t) {
-                        all.push(a);
-                        break;
-                    }
+                if a.factor <= 1.0 {
+                    break;
                 }
             }
         }
@@ -403,7 +416,7 @@
     fn place(&mut self, j: usize, a: Allocation) {
         let job = &self.s.jobs[j];
         let m = a.machine;
-        let fetch = self.fetch_ms(j, m);
+        let fetch = self.fetch_ms(j, m, self.s.now);
         self.rows[m].add(Bucket {
             end: a.start + a.length,
             need: job.need,
@@ -591,6 +604,64 @@
     }
 }
 
+fn all_machines(s: &Snapshot) -> Resources {
+    let mut total = Resources::default();
+    for m in &s.machines {
+        total += m.total;
+    }
+    total
+}
+
+fn thousandths(used: &Resources, total: &Resources) -> i64 {
+    (used.share_of(total) * 1_000.0).round() as i64
+}
+
+/// Moves shares between teams: the team of the oldest waiting job gets what its head lacks
+/// from the teams that leave most of theirs unused. Shares sum up to the whole fleet.
+pub fn move_shares(s: &Snapshot, mut shares: Vec<i64>) -> Vec<i64> {
+    let total = all_machines(s);
+    let n = s.teams.len();
+    if n == 0 {
+        return shares;
+    }
+    if shares.len() != n || shares.iter().sum::<i64>() != 1_000 {
+        // To start with, in proportion to the guarantees, and alike where there are none.
+        let mut guaranteed = Resources::default();
+        for t in &s.teams {
+            guaranteed += t.guarantee;
+        }
+        shares = s
+            .teams
+            .iter()
+            .map(|t| {
+                let g = t.guarantee.share_of(&guaranteed);
+                if g > 0.0 {
+                    (g * 1_000.0) as i64
+                } else {
+                    1_000 / n as i64
+                }
+            })
+            .collect();
+        let sum: i64 = shares.iter().sum::<i64>().max(1);
+        shares.iter_mut().for_each(|x| *x = *x * 1_000 / sum);
+        shares[0] += 1_000 - shares.iter().sum::<i64>();
+    }
+    let Some(head) = s.jobs.iter().min_by_key(|j| (j.rank, j.arrival)) else { return shares };
+    let mut with = s.teams[head.team].used;
+    with += head.need;
+    let mut lacks = thousandths(&with, &total) - shares[head.team];
+    while lacks > 0 {
+        let spare = |t: usize| shares[t] - thousandths(&s.teams[t].used, &total);
+        let others = (0..n).filter(|t| *t != head.team && spare(*t) > 0);
+        let Some(from) = others.max_by_key(|t| spare(*t)) else { break };
+        let moved = lacks.min(spare(from));
+        shares[from] -= moved;
+        shares[head.team] += moved;
+        lacks -= moved;
+    }
+    shares
+}
+
 /// Whether a use lies within a guarantee; a team with none has nothing within it.
 pub fn within(used: &Resources, guarantee: &Resources) -> bool {
     if guarantee.cpu == 0 && guarantee.gpu == 0 {
@@ -603,3 +674,179 @@
 fn within_or_none(used: &Resources, guarantee: &Resources) -> bool {
     (guarantee.cpu == 0 && guarantee.gpu == 0) || within(used, guarantee)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GPU: Resources = Resources { cpu: 1_000, gpu: 1_000, ram: 0 };
+
+    fn gpus(n: i64) -> Resources {
+        GPU * n
+    }
+
+    fn machine(n: i64) -> MachineView {
+        MachineView {
+            zone: 0,
+            sku: 0,
+            spot: false,
+            total: gpus(n),
+            slots: 100,
+            running: vec![],
+            kits: vec![(0, 0)],
+            fetch_ms_per_gb: 4_000.0,
+            taken_in: None,
+        }
+    }
+
+    fn running(end: u64) -> Running {
+        Running {
+            rank: Rank::Standard,
+            team: Some(0),
+            need: GPU,
+            bandwidth: 0.0,
+            end,
+            standing: false,
+            ran_ms: Some(60_000),
+            saves: false,
+            halting: false,
+            handle: 0,
+        }
+    }
+
+    fn job(arrival: u64, n: i64, run_ms: u64) -> JobView {
+        JobView {
+            rank: Rank::Standard,
+            team: 0,
+            standing: false,
+            arrival,
+            waited_ms: 0,
+            missed: 0,
+            need: gpus(n),
+            bandwidth: 0.0,
+            run_ms,
+            skus: vec![true],
+            zone: None,
+            spot_ok: true,
+            in_zone: vec![0],
+            zone_cap: 100,
+            together: false,
+            waiting: 1,
+            kit: 0,
+            size_gb: 5.0,
+            avoid: vec![],
+            saves: false,
+        }
+    }
+
+    fn snapshot(machines: Vec<MachineView>, jobs: Vec<JobView>) -> Snapshot {
+        Snapshot {
+            now: 0,
+            thresholds: c::THRESHOLDS.to_vec(),
+            machines,
+            jobs,
+            teams: vec![TeamView { share: 1_000, ..TeamView::default() }],
+        }
+    }
+
+    #[test]
+    fn what_delays_the_reservation_of_the_head_is_not_backfilled() {
+        let mut m = machine(4);
+        m.running = vec![running(10_000), running(10_000)];
+        // The head wants all four in 10 s. Beside it, 5 s fit before and 60 s don't.
+        let jobs = vec![job(1, 4, 60_000), job(2, 1, 60_000), job(3, 1, 5_000)];
+        let p = plan(&snapshot(vec![m], jobs));
+        assert_eq!(p.reservation, Some((0, 0, 10_000)));
+        assert_eq!(p.places, vec![(2, 0)]);
+    }
+
+    #[test]
+    fn backfill_goes_by_penalty_factor_then_length() {
+        let mut m = machine(4);
+        m.running = vec![running(60_000), running(60_000)];
+        m.running[0].bandwidth = 3.5;
+        let mut loud = job(2, 1, 1_000);
+        loud.bandwidth = 2.0;
+        let jobs = vec![job(1, 4, 1_000), loud, job(3, 1, 20_000), job(4, 1, 10_000)];
+        let p = plan(&snapshot(vec![m], jobs));
+        assert_eq!(p.places, vec![(3, 0), (2, 0)], "the shorter of the quiet ones first");
+    }
+
+    #[test]
+    fn the_threshold_with_the_least_slowdown_decides_between_now_and_later() {
+        // Half more than there is for 2 s costs 1 s; the wait would cost 2 s.
+        let mut m = machine(2);
+        m.running = vec![running(2_000)];
+        m.running[0].bandwidth = 2.0;
+        let mut j = job(1, 1, 10_000);
+        j.bandwidth = 1.0;
+        assert_eq!(plan(&snapshot(vec![m], vec![j])).places, vec![(0, 0)]);
+        // Over five times what there is for 9 s costs far more than the wait.
+        let mut m = machine(2);
+        m.running = vec![running(9_000)];
+        m.running[0].bandwidth = 9.0;
+        let mut j = job(1, 1, 10_000);
+        j.bandwidth = 2.0;
+        let p = plan(&snapshot(vec![m], vec![j]));
+        assert_eq!(p.reservation, Some((0, 0, 9_000)));
+    }
+
+    #[test]
+    fn tasks_do_not_all_wait_for_the_same_machine_that_holds_their_image() {
+        // One place with the image in 5 s, one empty machine that has to fetch for 20 s.
+        let mut here = machine(1);
+        here.running = vec![running(5_000)];
+        let mut cold = machine(2);
+        cold.kits = vec![];
+        let mut j = job(1, 1, 40_000);
+        j.waiting = 3;
+        let p = plan(&snapshot(vec![here, cold], vec![j]));
+        assert_eq!(p.places, vec![(0, 1), (0, 1)], "one waits, the others fetch");
+        assert_eq!(p.expected[0], vec![5_000]);
+    }
+
+    #[test]
+    fn a_team_at_its_limit_is_skipped_and_holds_nobody_up() {
+        let mut s = snapshot(vec![machine(4)], vec![job(1, 1, 1_000), job(2, 1, 1_000)]);
+        s.teams[0].limit.gpu = 1_000;
+        s.teams[0].used = GPU;
+        s.teams.push(TeamView { share: 0, ..TeamView::default() });
+        s.jobs[1].team = 1;
+        assert_eq!(plan(&s).places, vec![(1, 0)]);
+    }
+
+    #[test]
+    fn room_is_made_for_higher_ranks_only_and_where_least_is_lost() {
+        let mut m = machine(2);
+        m.running = vec![running(90_000), running(90_000)];
+        m.running[0].ran_ms = Some(80_000);
+        m.running[1].ran_ms = Some(40_000);
+        m.running[1].handle = 7;
+        let mut s = snapshot(vec![m], vec![job(1, 1, 1_000)]);
+        assert!(plan(&s).halts.is_empty(), "not for the same rank");
+        s.jobs[0].rank = Rank::Production;
+        assert_eq!(plan(&s).halts, vec![(0, 7)]);
+        s.machines[0].running[1].halting = true;
+        s.machines[0].running[1].end = 2_000;
+        assert!(plan(&s).halts.is_empty(), "room that is being made counts");
+    }
+
+    #[test]
+    fn a_job_that_can_still_be_in_time_goes_before_one_that_can_not() {
+        let mut s = snapshot(vec![machine(1)], vec![job(1, 1, 1_000), job(2, 1, 1_000)]);
+        s.jobs[0].missed = 1;
+        assert_eq!(plan(&s).places, vec![(1, 0)]);
+    }
+
+    #[test]
+    fn shares_grow_for_the_head_by_what_others_leave_unused() {
+        let mut s = snapshot(vec![machine(10)], vec![job(1, 3, 1_000)]);
+        s.teams = vec![TeamView::default(), TeamView::default()];
+        s.teams[0].used = gpus(4);
+        s.teams[1].used = gpus(2);
+        let shares = move_shares(&s, vec![]);
+        assert_eq!(shares, vec![700, 300], "half each, and 200 moved for the head");
+        s.teams[1].used = gpus(5);
+        assert_eq!(move_shares(&s, vec![500, 500]), vec![500, 500], "nothing is unused");
+    }
+}
