--- a/src/constants.rs
+++ b/src/constants.rs
@@ -78,8 +78,9 @@
 pub const STATE_RETRY_MS: u64 = 250;
 /// Share of the request rate that one controller uses, times the number of controllers.
 pub const STATE_RPS_SHARE: f64 = 0.85;
-/// Share of the write rate the leader may use; the rest is for submissions elsewhere.
-pub const WRITE_SHARE_LEADER: f64 = 0.6;
+/// Share of the write rate that the leader has beyond what every controller has for
+/// submissions: its own writes are few, and bursts of submissions come to all controllers.
+pub const WRITE_SHARE_LEADER: f64 = 0.25;
 /// Writes kept free in the leader's bucket for submissions and cancellations.
 pub const WRITE_RESERVE: f64 = 3.0;
 /// Tasks in one stored bitmap of done tasks; its text form is a quarter of this in bytes
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -149,7 +149,9 @@
             return self.refuse(asker, 422, "the submission is too large to be kept", None);
         }
         if !self.writes.take(1.0, 0.0, self.now.mono) {
-            return self.refuse(asker, 503, "too many submissions", Some(c::RETRY_AFTER_BUSY_S));
+            // A peer may have some of its share left.
+            let body = serde_json::to_vec(&*spec).unwrap_or_default();
+            return self.relay_or_refuse(asker, "POST", "/v1/jobs".into(), body);
         }
         let commit = Commit {
             conditions: vec![If { key: key.clone(), stamp: 0 }],
@@ -178,10 +180,11 @@
                 self.metrics.accepted += 1;
                 let _ = self.metrics.submit_ms.record(self.now.mono - at);
                 log::debug!(
-                    "{}: accepted, {} tasks of {}, {} of {} GB",
+                    "{}: accepted, {} tasks of {} for {}, {} of {} GB",
                     spec.uid,
                     spec.loads,
                     spec.duty,
+                    spec.crew,
                     spec.kit,
                     spec.size_gb
                 );
