--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -764,8 +764,9 @@
                     }
                 }
                 let ran = p.running_since.map(|t| now - t);
+                let halt_ms = (spec.mark_cost_s * c::MS_PER_S) as u64 + silent / 2;
                 let end = if p.halt.is_some() {
-                    now + (spec.mark_cost_s * c::MS_PER_S) as u64 + silent / 2
+                    now + halt_ms
                 } else if standing {
                     now + (c::STANDING_RUN_S * c::MS_PER_S) as u64
                 } else {
@@ -788,6 +789,7 @@
                     ran_ms: ran,
                     saves: spec.saves(),
                     halting: p.halt.is_some(),
+                    halt_ms,
                     handle: handles.len() - 1,
                 });
             }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -30,6 +30,8 @@
     pub ran_ms: Option<u64>,
     pub saves: bool,
     pub halting: bool,
+    /// Milliseconds that stopping it takes.
+    pub halt_ms: u64,
     /// The caller's handle.
     pub handle: usize,
 }
@@ -515,10 +517,26 @@
                 {
                     break;
                 }
-                let fits = (0..room.len())
-                    .filter(|m| self.allowed(j, *m) && room[*m].fits(&job.need))
-                    .min_by_key(|m| self.taste(j, *m));
-                if let Some(m) = fits {
+                // Where the least is lost, by the image that has to be fetched and by what is
+                // stopped; a place where there is room wins over one like it.
+                let mut best: Option<(u64, usize, Vec<usize>)> = None;
+                let mut machines: Vec<usize> =
+                    (0..room.len()).filter(|m| self.allowed(j, *m)).collect();
+                machines.sort_by_key(|m| self.taste(j, *m));
+                for m in machines {
+                    let fetch = self.fetch_ms(j, m, self.s.now);
+                    let choice = if room[m].fits(&job.need) {
+                        Some((0, Vec::new()))
+                    } else {
+                        self.victims(j, m, room[m], &stopped[m], within)
+                    };
+                    let Some((lost, victims)) = choice else { continue };
+                    if best.as_ref().is_none_or(|(cost, _, _)| lost + fetch < *cost) {
+                        best = Some((lost + fetch, m, victims));
+                    }
+                }
+                let Some((_, m, victims)) = best else { break };
+                if victims.is_empty() {
                     if !self.rows[m].free.fits(&job.need) {
                         self.held[m] += job.need;
                     }
@@ -526,21 +544,13 @@
                     used[job.team] = with;
                     continue;
                 }
-                // The machine where the least is lost.
-                let mut best: Option<(u64, usize, Vec<usize>)> = None;
-                for m in (0..room.len()).filter(|m| self.allowed(j, *m)) {
-                    if let Some((cost, victims)) = self.victims(j, m, room[m], &stopped[m], within)
-                    {
-                        if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
-                            best = Some((cost, m, victims));
-                        }
-                    }
-                }
-                let Some((_, m, victims)) = best else { break };
                 for v in victims {
                     let r = &self.s.machines[m].running[v];
                     stopped[m][v] = true;
                     room[m] += r.need;
+                    // Its place is free soon; the table must know, or the task for which it
+                    // is stopped would go elsewhere.
+                    self.rows[m].buckets[v].end = self.s.now + r.halt_ms.max(1);
                     if let Some(t) = r.team {
                         used[t] -= r.need;
                     }
@@ -710,6 +720,7 @@
             ran_ms: Some(60_000),
             saves: false,
             halting: false,
+            halt_ms: 2_000,
             handle: 0,
         }
     }
