Failed machines are returned at once, silent ones with services before their lease ends

A deletion is evidence as soon as it is answered; it is used only where few are silent and their services have a place.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -109,6 +109,8 @@
     pub urgent: bool,
     /// Set aside: gets no new tasks and is returned when empty.
     pub draining: bool,
+    /// The cloud lists it as failed: nothing runs there any more.
+    pub failed: bool,
     /// Being emptied because the others have room for its work; opened again when they
     /// have not.
     pub closing: bool,
@@ -146,6 +148,7 @@
             dirty: false,
             urgent: false,
             draining: false,
+            failed: false,
             closing: false,
             failures: Vec::new(),
             idle_since: None,
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -137,6 +137,12 @@
 /// Longest time in milliseconds that the answer to a report waits for a commit that
 /// may add orders to it; a worker gives up after 4 s.
 pub const REPORT_HOLD_MS: u64 = 400;
+/// Seconds that a worker waits for an answer (protocol).
+pub const WORKER_WAIT_S: f64 = 4.0;
+/// Seconds before a worker tries the next controller (protocol).
+pub const WORKER_RETRY_S: f64 = 1.0;
+/// Silent machines are taken one by one only if they are no more than one in so many.
+pub const SILENT_FEW: usize = 6;
 /// Report periods of silence after which a machine gets no new tasks.
 pub const SILENT_PERIODS: f64 = 2.2;
 
@@ -221,7 +227,7 @@
 /// Times its `ready_s` after which a booting machine no longer counts as coming soon.
 pub const BOOT_LATE: f64 = 1.8;
 /// Times its `ready_s` after which a booting machine is deleted.
-pub const BOOT_LOST: f64 = 3.5;
+pub const BOOT_LOST: f64 = 2.8;
 /// Times its `ready_s` that an idle machine is kept: to rent it again costs a boot and the
 /// fetch of its images, so that returning it pays only after about as long.
 pub const IDLE_RETURN_BOOTS: f64 = 1.0;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -258,7 +258,7 @@
                 m.life = Life::Unheard;
                 m.known_at = now;
             }
-            if h.status == HostStatus::Failed && m.life != Life::Gone {
+            if h.status == HostStatus::Failed && !m.failed && m.life != Life::Gone {
                 dead.push(name);
             }
         }
@@ -268,6 +268,7 @@
             if let Some(m) = l.books.machines.get_mut(&name) {
                 m.draining = true;
                 m.lapsed = true;
+                m.failed = true;
             }
             l.plan_soon(now);
         }
@@ -457,6 +458,7 @@
             return;
         };
         let spare = l.spare_slots(now, &catalog);
+        let silent = l.silent_services(now, &self.cfg);
         let mut free_slots: f64 = 0.0;
         for m in l.books.machines.values().filter(|m| usable(m) && !m.spot) {
             free_slots +=
@@ -472,6 +474,7 @@
                 None => (ready as f64 * c::IDLE_RETURN_BOOTS) as u64,
             };
             let back = match m.life {
+                Life::Booting | Life::Unheard | Life::Up if m.failed => true,
                 Life::Gone | Life::Deleting | Life::Unheard => false,
                 Life::Booting => age as f64 > ready as f64 * c::BOOT_LOST,
                 Life::Up if m.lapsed => {
@@ -503,7 +506,8 @@
                 && m.reported_at.is_some_and(|t| now > t + c::SILENT_DELETE_MS);
             let wait = c::SILENT_DELETE_MS + (self.cfg.params.workers.lease_s * c::MS_PER_S) as u64;
             let unheard = m.life == Life::Unheard && now > m.known_at + wait;
-            if back || mute || unheard {
+            let doubtful = silent.iter().any(|n| *n == m.name);
+            if back || mute || unheard || doubtful {
                 names.push(m.name.clone());
             }
         }
@@ -773,6 +777,63 @@
 }
 
 impl Leader {
+    /// Machines with services that have missed a whole round of reports while nearly all
+    /// others report, and whose services have a place elsewhere: deleting them is evidence
+    /// at once, where a lease or the list take twice as long. If they were only cut off, their
+    /// tasks would have ended with the lease all the same.
+    fn silent_services(&self, now: u64, cfg: &Platform) -> Vec<Name> {
+        let w = &cfg.params.workers;
+        // A report that fails, the worker's wait for it, one at a wrong controller, and back.
+        let round = w.report_s * 2.5 + c::WORKER_WAIT_S + c::WORKER_RETRY_S * 2.0;
+        let round_ms = (round * c::MS_PER_S) as u64;
+        let recent_ms = (w.report_s * c::SILENT_PERIODS * c::MS_PER_S) as u64;
+        let books = &self.books;
+        let last = |m: &Machine| m.reported_at.unwrap_or(0).max(self.began);
+        let known: Vec<&Machine> = books
+            .machines
+            .values()
+            .filter(|m| matches!(m.life, Life::Up | Life::Unheard) && !m.failed)
+            .collect();
+        let quiet: Vec<&&Machine> = known
+            .iter()
+            .filter(|m| !m.lapsed && now > last(m).max(m.known_at) + round_ms)
+            .collect();
+        let heard =
+            known.iter().filter(|m| m.reported_at.is_some_and(|t| now <= t + recent_ms)).count();
+        let few = quiet.len() * c::SILENT_FEW <= known.len();
+        if !few || heard + quiet.len() < known.len() {
+            return Vec::new();
+        }
+        let open: Vec<&&Machine> =
+            known.iter().filter(|m| usable(m) && quiet.iter().all(|q| q.name != m.name)).collect();
+        quiet
+            .into_iter()
+            .filter(|m| {
+                let services: Vec<Resources> = m
+                    .placements
+                    .iter()
+                    .filter(|((uid, _), p)| p.ended.is_none() && books.is_standing(uid))
+                    .filter_map(|((uid, _), _)| books.jobs.get(uid).map(|j| j.need))
+                    .collect();
+                let Some(need) = services.first() else { return false };
+                let mut room = 0;
+                for o in open.iter().filter(|o| !o.spot) {
+                    let mut free = books.free(o);
+                    for ((uid, _), p) in &o.placements {
+                        if p.ended.is_none() && !books.is_standing(uid) {
+                            if let Some(j) = books.jobs.get(uid) {
+                                free += j.need;
+                            }
+                        }
+                    }
+                    room += free.times(need);
+                }
+                room >= services.len() as i64
+            })
+            .map(|m| m.name.clone())
+            .collect()
+    }
+
     /// Takes note of jobs that came since the last look. What a new leader finds counts at
     /// the time of day that it was accepted.
     fn note_arrivals(&mut self, now: Clock, catalog: &Catalog) {
