--- a/src/constants.rs
+++ b/src/constants.rs
@@ -248,7 +248,7 @@
 /// Milliseconds between two moves of services: each is a short gap for its users.
 pub const MOVE_GAP_MS: u64 = 3_000;
 /// Milliseconds between two looks at the size of the fleet.
-pub const FLEET_PERIOD_MS: u64 = 1_000;
+pub const FLEET_PERIOD_MS: u64 = 300;
 /// Milliseconds a machine may be silent, once its tasks are settled, before it is deleted.
 pub const SILENT_DELETE_MS: u64 = 45_000;
 /// Seconds in which the queue of batch work should be worked off, at the least.
