--- a/src/constants.rs
+++ b/src/constants.rs
@@ -253,6 +253,8 @@
 pub const SILENT_DELETE_MS: u64 = 45_000;
 /// Seconds in which the queue of batch work should be worked off, at the least.
 pub const DRAIN_TARGET_S: f64 = 45.0;
+/// Milliseconds after its time at which a silent machine that was to be taken is deleted.
+pub const RECALL_PAST_MS: u64 = 500;
 /// Seconds before a spot machine is taken at which tasks that can save are told to, beyond
 /// their own `mark_cost_s`.
 pub const RECALL_MARGIN_S: f64 = 4.0;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -459,6 +459,7 @@
         };
         let spare = l.spare_slots(now, &catalog);
         let silent = l.silent_services(now, &self.cfg);
+        let silent_ms = (self.cfg.params.workers.report_s * c::SILENT_PERIODS * c::MS_PER_S) as u64;
         let mut free_slots: f64 = 0.0;
         for m in l.books.machines.values().filter(|m| usable(m) && !m.spot) {
             free_slots +=
@@ -480,9 +481,16 @@
                 Life::Up if m.lapsed => {
                     m.answered_at.is_none_or(|t| now > t + c::SILENT_DELETE_MS) || m.draining
                 }
+                // Empty, or past its time and silent: to wait for the list would hold its
+                // tasks for twice its lag.
+                Life::Up if m.recall_at.is_some() => {
+                    let past = m.recall_at.is_some_and(|t| now > t + c::RECALL_PAST_MS);
+                    let quiet = m.reported_at.is_none_or(|t| now > t + silent_ms);
+                    empty || (past && quiet)
+                }
                 Life::Up if m.draining => empty,
                 Life::Up if m.closing => empty && age as f64 >= c::CHARGE_MIN_S * c::MS_PER_S,
-                Life::Up if !empty || m.recall_at.is_some() => false,
+                Life::Up if !empty => false,
                 Life::Up => {
                     let idle = m.idle_since.is_some_and(|t| now >= t + idle_ms);
                     let paid = age as f64 >= c::CHARGE_MIN_S * c::MS_PER_S;
