--- a/src/constants.rs
+++ b/src/constants.rs
@@ -189,7 +189,9 @@
 /// Tasks placed by one pass; bounds the commit that follows.
 pub const PLACES_PER_PASS: usize = 128;
 /// Later places that one pass works out for waiting tasks; bounds its time.
-pub const CLAIMS_PER_PASS: usize = 256;
+pub const CLAIMS_PER_PASS: usize = 96;
+/// Milliseconds from now beyond which a later place tells nothing: estimates are too wrong.
+pub const CLAIM_HORIZON_MS: u64 = 90_000;
 /// Milliseconds a started task is left alone before it may be stopped for others: a
 /// start counts for users when it lasts 30 s.
 pub const PREEMPT_SHIELD_MS: u64 = 30_000;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -514,7 +514,7 @@
                 && m.reported_at.is_some_and(|t| now > t + c::SILENT_DELETE_MS);
             let wait = c::SILENT_DELETE_MS + (self.cfg.params.workers.lease_s * c::MS_PER_S) as u64;
             let unheard = m.life == Life::Unheard && now > m.known_at + wait;
-            let doubtful = silent.iter().any(|n| *n == m.name);
+            let doubtful = silent.contains(&m.name);
             if back || mute || unheard || doubtful {
                 names.push(m.name.clone());
             }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -472,11 +472,13 @@
         let now = self.s.now;
         let need = self.s.jobs[j].need;
         while (self.plan.expected[j].len() as u32) < self.waiting[j] {
-            let a = self.allocate(j, true)?;
+            // With enough claims worked out, only what can start now is of interest.
+            let may_wait = self.claims < c::CLAIMS_PER_PASS;
+            let a = self.allocate(j, may_wait)?;
             if a.start <= now {
                 return Some(a);
             }
-            if self.claims >= c::CLAIMS_PER_PASS {
+            if a.start > now + c::CLAIM_HORIZON_MS {
                 return None;
             }
             self.claims += 1;
