--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -44,12 +44,26 @@
     pub running_since: Option<u64>,
     pub placed_at: u64,
     pub halt: Option<Halt>,
-    /// When the halt was decided.
-    pub halt_at: u64,
     /// Settled by evidence; taken out once that is committed.
     pub ended: Option<Cause>,
 }
 
+impl Placement {
+    /// A placement of which nothing has been shown yet.
+    pub fn new(attempt: u64, phase: Phase, now: u64) -> Placement {
+        Placement {
+            attempt,
+            phase,
+            ordered: None,
+            seen: None,
+            running_since: None,
+            placed_at: now,
+            halt: None,
+            ended: None,
+        }
+    }
+}
+
 /// A task's place in the books.
 pub type TaskId = (Name, u32);
 
@@ -88,8 +102,6 @@
     pub listed_at: Option<u64>,
     /// The newest report: tenure and tally.
     pub newest: (u64, u64),
-    /// Tenure in the newest report that showed our baton.
-    pub our_tenure: u64,
     /// The worker has shown our baton.
     pub shows_baton: bool,
     pub reported_at: Option<u64>,
@@ -136,7 +148,6 @@
             up_at: None,
             listed_at: None,
             newest: (0, 0),
-            our_tenure: 0,
             shows_baton: false,
             reported_at: None,
             answered_at: None,
@@ -289,17 +300,7 @@
             m.key_stamp = place.stamp;
             m.kits = place.value.kits.clone();
             for (job, task, attempt) in &place.value.tasks {
-                let p = Placement {
-                    attempt: *attempt,
-                    phase: Phase::Committed,
-                    ordered: None,
-                    seen: None,
-                    running_since: None,
-                    placed_at: now,
-                    halt: None,
-                    halt_at: 0,
-                    ended: None,
-                };
+                let p = Placement::new(*attempt, Phase::Committed, now);
                 m.placements.insert((Name::from(job.as_str()), *task), p);
             }
             b.machines.insert(name.clone(), m);
@@ -377,7 +378,7 @@
     }
 
     /// A job changed in the store: a new one, or one that is over.
-    pub fn job_changed(&mut self, r: &Replica, uid: &Name, now: u64) {
+    pub fn job_changed(&mut self, r: &Replica, uid: &Name) {
         let Some(rec) = r.jobs.get(uid) else { return };
         if !self.jobs.contains_key(uid) {
             if rec.value.stage == Stage::Live {
@@ -386,12 +387,12 @@
             return;
         }
         if rec.value.stage != Stage::Live {
-            self.end_job(uid, rec.value.stage, rec.stamp, now);
+            self.end_job(uid, rec.value.stage, rec.stamp);
         }
     }
 
     /// A job is over: what waits is dropped, what runs is halted.
-    pub fn end_job(&mut self, uid: &Name, stage: Stage, stamp: u64, now: u64) {
+    pub fn end_job(&mut self, uid: &Name, stage: Stage, stamp: u64) {
         let Some(job) = self.jobs.get_mut(uid) else {
             return;
         };
@@ -410,21 +411,11 @@
         let placed: Vec<(u32, Name)> = job.placed.iter().map(|(t, m)| (*t, m.clone())).collect();
         for (task, machine) in placed {
             let id = (uid.clone(), task);
-            let Some(m) = self.machines.get_mut(&machine) else {
-                continue;
-            };
-            if m.placements.get(&id).is_some_and(|p| p.phase == Phase::Proposed) {
-                // Never ordered and, if its commit fails, never stored. If the commit is
-                // still under way its outcome is awaited: the placement is then halted.
-                if let Some(p) = m.placements.get_mut(&id) {
-                    p.halt = Some(Halt::Unwanted);
-                    p.halt_at = now;
-                }
-            } else if let Some(p) = m.placements.get_mut(&id) {
-                if p.halt != Some(Halt::Unwanted) {
-                    p.halt = Some(Halt::Unwanted);
-                    p.halt_at = now;
-                }
+            // A placement that is only proposed is halted too: if the commit under way stores
+            // it, it must not be ordered any more.
+            let Some(m) = self.machines.get_mut(&machine) else { continue };
+            if let Some(p) = m.placements.get_mut(&id) {
+                p.halt = Some(Halt::Unwanted);
             }
         }
         self.drop_if_over(uid);
@@ -451,17 +442,7 @@
         if let Some(spec) = &job.spec {
             *self.usage.entry(spec.crew.clone()).or_default() += job.need;
         }
-        let p = Placement {
-            attempt,
-            phase: Phase::Proposed,
-            ordered: None,
-            seen: None,
-            running_since: None,
-            placed_at: now,
-            halt: None,
-            halt_at: 0,
-            ended: None,
-        };
+        let p = Placement::new(attempt, Phase::Proposed, now);
         m.placements.insert((uid.clone(), task), p);
         m.idle_since = None;
         m.touch(true);
@@ -548,7 +529,21 @@
         free
     }
 
-    /// Whether a job's tasks end by themselves.
+    /// Room for services on a machine: what is free, and what tasks hold that may be stopped
+    /// for them.
+    pub fn room_for_services(&self, m: &Machine) -> Resources {
+        let mut room = self.free(m);
+        for ((uid, _), p) in &m.placements {
+            if p.ended.is_none() && !self.is_standing(uid) {
+                if let Some(j) = self.jobs.get(uid) {
+                    room += j.need;
+                }
+            }
+        }
+        room
+    }
+
+    /// Whether a job's tasks run until it is withdrawn.
     pub fn is_standing(&self, uid: &str) -> bool {
         self.jobs.get(uid).and_then(|j| j.spec.as_ref()).is_some_and(|s| s.shape == Shape::Standing)
     }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -356,15 +356,7 @@
             let Some((need, _)) = &spare else { return f64::MAX };
             let mut n = 0.0;
             for m in open.iter().filter(|m| !m.spot && m.name != *except) {
-                let mut room = books.free(m);
-                for ((uid, _), p) in &m.placements {
-                    if p.ended.is_none() && !books.is_standing(uid) {
-                        if let Some(j) = books.jobs.get(uid) {
-                            room += j.need;
-                        }
-                    }
-                }
-                n += room.times(need) as f64;
+                n += books.room_for_services(m).times(need) as f64;
             }
             n
         };
@@ -442,7 +434,6 @@
         if let Some(p) = l.books.machines.get_mut(&name).and_then(|m| m.placements.get_mut(&id)) {
             log::debug!("{}/{}: moves off {name}", id.0, id.1);
             p.halt = Some(Halt::MakeRoom);
-            p.halt_at = now;
         }
     }
 
@@ -607,15 +598,7 @@
         if let Some((need, want)) = l.spare_slots(now, &catalog) {
             let mut have = 0.0;
             for m in l.books.machines.values().filter(|m| usable(m) && !m.spot) {
-                let mut room = l.books.free(m);
-                for ((uid, _), p) in &m.placements {
-                    if p.ended.is_none() && !l.books.is_standing(uid) {
-                        if let Some(j) = l.books.jobs.get(uid) {
-                            room += j.need;
-                        }
-                    }
-                }
-                have += room.times(&need) as f64;
+                have += l.books.room_for_services(m).times(&need) as f64;
             }
             let missing = want - have;
             if missing > 0.0 {
@@ -826,15 +809,7 @@
                 let Some(need) = services.first() else { return false };
                 let mut room = 0;
                 for o in open.iter().filter(|o| !o.spot) {
-                    let mut free = books.free(o);
-                    for ((uid, _), p) in &o.placements {
-                        if p.ended.is_none() && !books.is_standing(uid) {
-                            if let Some(j) = books.jobs.get(uid) {
-                                free += j.need;
-                            }
-                        }
-                    }
-                    room += free.times(need);
+                    room += books.room_for_services(o).times(need);
                 }
                 room >= services.len() as i64
             })
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -344,7 +344,6 @@
                 if let Some(p) = mm.placements.get_mut(&id) {
                     log::debug!("{}/{}: stopped on {} to make room", id.0, id.1, mm.name);
                     p.halt = p.halt.max(Some(Halt::MakeRoom));
-                    p.halt_at = now;
                 }
             }
         }
@@ -656,7 +655,7 @@
         let Some(f) = l.flight.take() else { return };
         for uid in &f.finishes {
             log::debug!("{uid}: done");
-            l.books.end_job(uid, Stage::Done, rev, now);
+            l.books.end_job(uid, Stage::Done, rev);
         }
         for (uid, chunk) in &f.chunks {
             if let Some(j) = l.books.jobs.get_mut(uid) {
@@ -879,7 +878,6 @@
                 kit: kit_of(&spec.kit),
                 size_gb: spec.size_gb,
                 avoid,
-                saves: spec.saves(),
             });
             v.jobs.push(uid.clone());
         }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -81,7 +81,6 @@
     pub size_gb: f64,
     /// Machines it must not use for now (it failed there), by index.
     pub avoid: Vec<usize>,
-    pub saves: bool,
 }
 
 /// A team.
@@ -748,7 +747,6 @@
             kit: 0,
             size_gb: 5.0,
             avoid: vec![],
-            saves: false,
         }
     }
 
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -217,7 +217,7 @@
     fn jobs_touched(&mut self, touched: &[Name]) {
         if let Some(l) = self.leader.as_mut().filter(|l| l.ready) {
             for uid in touched {
-                l.books.job_changed(&self.replica, uid, self.now.mono);
+                l.books.job_changed(&self.replica, uid);
             }
             if !touched.is_empty() {
                 l.plan_soon(self.now.mono);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -218,7 +218,7 @@
         }
         if let Some(l) = self.leader.as_mut().filter(|l| l.ready) {
             for uid in &touched {
-                l.books.job_changed(&self.replica, uid, self.now.mono);
+                l.books.job_changed(&self.replica, uid);
             }
             if !touched.is_empty() {
                 l.plan_soon(self.now.mono);
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -97,9 +97,6 @@
         m.reported_at = Some(now);
         m.lapsed = false;
         m.shows_baton |= ours;
-        if ours {
-            m.our_tenure = report.tenure;
-        }
         let recalled = m.recall_at.is_some();
         m.recall_at = report.recall_s.map(|s| now + (s.max(0.0) * c::MS_PER_S) as u64);
         if m.recall_at.is_some() && !recalled {
@@ -318,7 +315,7 @@
                 }
             }
             if let (Some(spec), Some(ran)) = (spec, ran) {
-                if spec.shape == Shape::Batch && !spec.saves() || ran > 0 {
+                if ran > 0 {
                     self.learn_run(&spec, ran);
                 }
             }
@@ -376,7 +373,6 @@
             };
             if stop {
                 p.halt = Some(Halt::MakeRoom);
-                p.halt_at = now;
             }
         }
     }
@@ -422,7 +418,6 @@
             p.phase = Phase::Committed;
             p.seen = Some(TaskStatus::Running);
             p.halt = Some(Halt::MakeRoom);
-            p.halt_at = now;
         }
     }
 }
