--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -260,6 +260,54 @@
     assert_eq!(w.jobs["job-000001"].starts, starts, "no replica was started again");
 }
 
+#[test]
+fn a_failed_machine_is_returned_at_once_also_by_a_leader_that_never_heard_it() {
+    // Such machines once stayed for 45 s and held capacity.
+    let mut w = settled();
+    let s = w.spec(1, "standing", 2);
+    w.submit(s, u64::MAX, 0);
+    w.run(8_000);
+    let starts = w.jobs["job-000001"].starts;
+    let name = w.workers.iter().find(|(_, x)| x.is_on("job-000001")).unwrap().0.clone();
+    w.fail_machine(&name);
+    let l = w.leader().unwrap();
+    w.crash(l, 1_000);
+    w.until(15_000, "returned", |w| w.is_returned(&name));
+    w.until(10_000, "started elsewhere", |w| w.jobs["job-000001"].starts > starts);
+}
+
+#[test]
+fn a_spot_machine_past_its_time_holds_its_tasks_no_longer() {
+    let mut w = settled();
+    let s = w.spec(1, "batch", 4);
+    w.submit(s, 60_000, 0);
+    w.run(8_000);
+    let name = w.workers.iter().find(|(_, x)| x.is_on("job-000001")).unwrap().0.clone();
+    let starts = w.jobs["job-000001"].starts;
+    let at = w.now + 3_000;
+    w.workers.get_mut(&name).unwrap().recall_at = Some(at);
+    w.until(11_000, "started elsewhere", |w| w.jobs["job-000001"].starts > starts);
+}
+
+#[test]
+fn a_burst_of_submissions_at_one_controller_is_taken_with_its_peers_help() {
+    // One that had used up its share of the writes once refused what its peers could take.
+    let mut w = settled();
+    let l = w.leader().unwrap();
+    let asked: Vec<u64> = (1..=30)
+        .map(|n| {
+            let s = w.spec(n, "batch", 1);
+            w.submit(s, 1_000, (l + 1) % 3)
+        })
+        .collect();
+    w.run(400);
+    let taken = asked.iter().filter(|r| w.status(**r) == 201).count();
+    let refused = asked.iter().filter(|r| w.status(**r) == 503).count();
+    assert_eq!(taken + refused, 30, "all are answered at once");
+    // 60 writes a second: a quarter for each controller, and a quarter for the leader.
+    assert!(taken > 15, "more than its own share: {taken}");
+}
+
 #[test]
 fn apart_counts_replicas_that_can_not_be_reached() {
     let mut w = settled();
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -181,6 +181,8 @@
     rented: u64,
     up: Option<u64>,
     gone: Option<u64>,
+    /// Stopped on its own; listed as failed until it is deleted.
+    failed: bool,
 }
 
 /// The cloud.
@@ -359,7 +361,7 @@
         self.cloud.next += 1;
         let yard = self.zones[zone].clone();
         let up = up.unwrap_or(self.now + self.cloud.boot_ms);
-        let host = Host { yard, spot, rented: self.now, up: Some(up), gone: None };
+        let host = Host { yard, spot, rented: self.now, up: Some(up), gone: None, failed: false };
         self.cloud.hosts.insert(name.clone(), host);
         name
     }
@@ -404,6 +406,18 @@
             .max_by_key(|i| leads(&self.nodes[*i]))
     }
 
+    /// A machine stops on its own and is listed so.
+    pub fn fail_machine(&mut self, name: &str) {
+        let w = self.workers.get_mut(name).expect("a machine");
+        w.dead = true;
+        w.tasks.clear();
+        self.cloud.hosts.get_mut(name).expect("a machine").failed = true;
+    }
+
+    pub fn is_returned(&self, name: &str) -> bool {
+        self.cloud.hosts[name].gone.is_some()
+    }
+
     pub fn kill_machine(&mut self, name: &str) {
         if let Some(w) = self.workers.get_mut(name) {
             w.dead = true;
@@ -883,7 +897,7 @@
                     .map(|(n, h)| {
                         let up = h.up.is_some_and(|t| t <= at);
                         json!({"uid": n, "address": "x", "build": "g4", "yard": h.yard, "lendables": h.spot,
-                            "status": if up { "running" } else { "starting" }, "age_s": (at - h.rented) as f64 / 1000.0})
+                            "status": if h.failed { "failed" } else if up { "running" } else { "starting" }, "age_s": (at - h.rented) as f64 / 1000.0})
                     })
                     .collect();
                 (200, json!({"steads": list, "has_next": false}))
