Reports of a session whose lease is surely over are not read any more

No rule was broken and nothing ran twice; it cost a commit and a line for each task. A story watches it.

--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -82,6 +82,12 @@
             // Late or repeated: the worker has given it up.
             return self.elsewhere(conn);
         }
+        if m.lapsed && report.tenure <= m.newest.0 {
+            // Sent before its lease ran out and held on the way: what it shows is over, and
+            // the worker has begun another session since. Such reports once brought back
+            // machines that were still cut off, with tasks long started elsewhere.
+            return self.elsewhere(conn);
+        }
         m.newest = id;
         m.sku = report.build;
         m.yard = report.yard;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -333,6 +333,30 @@
     panic!("the head never started: {}", w.view());
 }
 
+#[test]
+fn reports_held_beyond_the_lease_bring_nothing_back() {
+    let mut w = settled();
+    let s = w.spec(1, "batch", 4);
+    w.submit(s, 120_000, 0);
+    w.run(8_000);
+    let name = w.workers.iter().find(|(_, x)| x.is_on("job-000001")).unwrap().0.clone();
+    // Reports of the next seconds are held for 20 s, later ones are lost.
+    let until = w.now + 20_000;
+    w.workers.get_mut(&name).unwrap().held_until = Some(until);
+    w.run(8_000);
+    w.workers.get_mut(&name).unwrap().cut = true;
+    w.run(11_500);
+    let starts = w.jobs["job-000001"].starts;
+    assert!(starts > 4, "started elsewhere after the lease");
+    w.run(1_000);
+    let l = w.leader().unwrap();
+    let books = &w.nodes[l].core.as_ref().unwrap().leader().unwrap().books;
+    let m = books.machines.get(name.as_str());
+    assert!(m.is_none_or(|m| m.lapsed && m.placements.is_empty()), "it is still cut off");
+    w.run(10_000);
+    assert_eq!(w.jobs["job-000001"].starts, starts);
+}
+
 #[test]
 fn apart_counts_replicas_that_can_not_be_reached() {
     let mut w = settled();
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -230,6 +230,8 @@
     pub recall_at: Option<u64>,
     /// Nothing gets in or out.
     pub cut: bool,
+    /// Reports are held on the way instead of lost, until then.
+    pub held_until: Option<u64>,
     /// Fails every task that it starts.
     pub sick: bool,
     pub dead: bool,
@@ -836,6 +838,7 @@
                 kits: BTreeSet::new(),
                 recall_at: None,
                 cut: false,
+                held_until: None,
                 sick: false,
                 dead: false,
             };
@@ -994,6 +997,7 @@
             w.next_at = now + REPORT_MS * 3 / 4 + jitter;
             w.in_flight = Some((request, now));
             let node = w.node;
+            let d = w.held_until.map_or(d, |t| t.saturating_sub(now).max(d));
             if !w.cut {
                 self.send(d, Msg::Report { worker: name.into(), request, node, body });
             }
@@ -1030,7 +1034,7 @@
             return;
         };
         let Some((r, sent)) = w.in_flight else { return };
-        if r != request || w.cut || w.dead {
+        if r != request || w.cut || w.dead || w.held_until.is_some_and(|t| now < t) {
             return;
         }
         w.in_flight = None;
