Answers and reads of an earlier moment decide nothing about a commit under way

Read through for what a second term in the same process could mix up: an answer to a commit of its first term would have been taken for the new one's, and a read begun before a refusal for the one that tells. A leader that is not served returns no machines.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -184,8 +184,10 @@
             self.forget_gone();
             self.consolidate();
             self.move_services();
-            self.return_machines();
+            // One that the state service does not serve may not lead any more: it must not
+            // take machines away.
             if self.served() {
+                self.return_machines();
                 self.rent_machines();
             }
         }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -27,7 +27,7 @@
     /// A copy is out now.
     sent: bool,
     /// Waits for a read that tells what became of it.
-    reading: bool,
+    reading: Option<u64>,
     not_before: u64,
 }
 
@@ -204,7 +204,7 @@
     }
 
     /// A read that was begun after the election, or after an unclear commit, is in.
-    pub(super) fn leader_fresh(&mut self) {
+    pub(super) fn leader_fresh(&mut self, begun: u64) {
         let now = self.now.mono;
         let Some(l) = self.leader.as_mut() else {
             return;
@@ -228,7 +228,7 @@
             );
             return self.check_term();
         }
-        self.resolve_flight();
+        self.resolve_flight(begun);
     }
 
     // --- evidence by time --------------------------------------------------------
@@ -358,7 +358,7 @@
             return;
         };
         if let Some(f) = &l.flight {
-            if !f.sent && !f.reading && now >= f.not_before {
+            if !f.sent && f.reading.is_none() && now >= f.not_before {
                 self.send_flight();
             }
             return;
@@ -397,7 +397,7 @@
             garbage: vec![],
             unclear: false,
             sent: false,
-            reading: false,
+            reading: None,
             not_before: 0,
         };
         let complete: Vec<Name> =
@@ -537,14 +537,14 @@
         f.sent = true;
         let body = f.body.clone();
         self.metrics.state_writes += n as u64;
-        self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, Purpose::LeaderCommit);
+        let purpose = Purpose::LeaderCommit { term: l.term };
+        self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
     }
 
-    pub(super) fn leader_committed(&mut self, reply: Option<(u16, Vec<u8>)>) {
+    pub(super) fn leader_committed(&mut self, term: u64, reply: Option<(u16, Vec<u8>)>) {
         let now = self.now.mono;
-        let Some(l) = self.leader.as_mut() else {
-            return;
-        };
+        // An answer to a commit of an earlier term of ours says nothing about this one's.
+        let Some(l) = self.leader.as_mut().filter(|l| l.term == term) else { return };
         let Some(f) = l.flight.as_mut() else { return };
         f.sent = false;
         match reply {
@@ -559,7 +559,7 @@
                 if !f.unclear && failed.contains(&leader_key()) {
                     return self.step_down("the leader key has changed");
                 }
-                f.reading = true;
+                f.reading = Some(now);
                 self.leader_wants_fresh();
             }
             // Not executed: if no earlier copy can have been, it is built anew.
@@ -581,15 +581,15 @@
     }
 
     /// A refused commit, after a fresh read: applied by an earlier copy, or not at all.
-    fn resolve_flight(&mut self) {
-        let Some(l) = self.leader.as_mut() else {
-            return;
-        };
+    fn resolve_flight(&mut self, begun: u64) {
+        let Some(l) = self.leader.as_mut() else { return };
         let Some(f) = l.flight.as_mut() else { return };
-        if !f.reading {
-            return;
+        let Some(since) = f.reading else { return };
+        if begun < since {
+            // A read from before the refusal can't tell.
+            return self.leader_wants_fresh();
         }
-        f.reading = false;
+        f.reading = None;
         if !f.unclear {
             return self.flight_dropped();
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -96,7 +96,7 @@
     Elect { tenancy: u64, term: u64 },
     Renew { tenancy: u64, sent: u64 },
     StepDown,
-    LeaderCommit,
+    LeaderCommit { term: u64 },
     Submit { asker: Asker, spec: Rc<Spec>, at: u64, commit: Commit },
     Withdraw { asker: Asker, uid: String, commit: Commit },
     Gossip { peer: usize },
@@ -273,7 +273,7 @@
             Purpose::Elect { tenancy, term } => self.elected(tenancy, term, reply),
             Purpose::Renew { tenancy, sent } => self.renewed(tenancy, sent, reply),
             Purpose::StepDown => {}
-            Purpose::LeaderCommit => self.leader_committed(reply),
+            Purpose::LeaderCommit { term } => self.leader_committed(term, reply),
             Purpose::Submit { asker, spec, at, commit } => {
                 self.submitted(asker, spec, at, commit, reply)
             }
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -69,7 +69,9 @@
                 log::debug!("state service: too many requests");
                 if matches!(
                     purpose,
-                    Purpose::LeaderCommit | Purpose::Submit { .. } | Purpose::Withdraw { .. }
+                    Purpose::LeaderCommit { .. }
+                        | Purpose::Submit { .. }
+                        | Purpose::Withdraw { .. }
                 ) {
                     self.writes.drain(self.now.mono);
                 } else {
@@ -238,7 +240,7 @@
             Some(true) => {
                 self.sync.fresh_at = Some(begun);
                 for w in waiters {
-                    self.fresh_done(w);
+                    self.fresh_done(w, begun);
                 }
             }
             outcome => {
@@ -253,14 +255,14 @@
         self.sync_due();
     }
 
-    fn fresh_done(&mut self, w: Waiter) {
+    fn fresh_done(&mut self, w: Waiter, begun: u64) {
         match w {
             Waiter::Poll { asker, uid } => self.answer_poll(asker, &uid),
             Waiter::Withdraw { asker, uid } => self.withdraw_known(asker, uid),
             Waiter::Submit { asker, uid, verdict, spec } => {
                 self.submit_known(asker, uid, verdict, spec)
             }
-            Waiter::Leader => self.leader_fresh(),
+            Waiter::Leader => self.leader_fresh(begun),
         }
     }
 
