--- a/tests/random.rs
+++ b/tests/random.rs
@@ -13,7 +13,7 @@
 
 fn trouble(w: &mut World) {
     let i = w.rng.random_range(0..3);
-    match w.rng.random_range(0..16) {
+    match w.rng.random_range(0..17) {
         0 => {
             let back = if w.rng.random_bool(0.3) { 100 } else { w.rng.random_range(500..8_000) };
             w.crash(i, back);
@@ -40,6 +40,8 @@
         9 => w.state.lost_answers = if w.state.lost_answers > 0.0 { 0.0 } else { 0.2 },
         10 => w.late_reports = if w.late_reports > 0.0 { 0.0 } else { 0.2 },
         11 => w.cloud.down ^= true,
+        // Beyond the wait for an answer: rentals and deletions are carried out late.
+        16 => w.cloud.slow_ms = if w.cloud.slow_ms > 0 { 0 } else { 7_000 },
         k => {
             let names: Vec<String> =
                 w.workers.iter().filter(|(_, x)| !x.dead).map(|(n, _)| n.clone()).collect();
@@ -72,6 +74,7 @@
     w.state.lost_answers = 0.0;
     w.late_reports = 0.0;
     w.cloud.down = false;
+    w.cloud.slow_ms = 0;
     for x in w.workers.values_mut() {
         x.cut = false;
         x.sick = false;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -194,6 +194,8 @@
     pub boot_ms: u64,
     pub capacity: usize,
     pub down: bool,
+    /// Milliseconds by which it takes longer, also to carry requests out.
+    pub slow_ms: u64,
 }
 
 const LAG_MS: u64 = 2_000;
@@ -625,9 +627,10 @@
                         let d = if late { d + self.rng.random_range(1_000..6_000) } else { d };
                         self.send(d, Msg::ToState { node, life, call, method, path, body });
                     }
-                    Service::Cloud => {
-                        self.send(d + 50, Msg::ToCloud { node, life, call, method, path, body })
-                    }
+                    Service::Cloud => self.send(
+                        d + 50 + self.cloud.slow_ms,
+                        Msg::ToCloud { node, life, call, method, path, body },
+                    ),
                     Service::Peer(p) => {
                         let to = (0..3).filter(|x| *x != node).nth(p).expect("two peers");
                         if !self.nodes[node].cut_peers && !self.nodes[to].cut_peers {
