One check for caps on cores and GPUs; a service and a job are set up once in the stories

Limits and guarantees were compared in five places, twice with the same meaning; behaviour as it was. The renewal's unused time of sending is gone.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -122,11 +122,11 @@
         l.renew_at = now + c::LEADER_RENEW_MS;
         let tenancy = l.tenancy;
         let path = format!("/holds/{tenancy}/renew");
-        let purpose = Purpose::Renew { tenancy, sent: now };
+        let purpose = Purpose::Renew { tenancy };
         self.state_call("POST", path, b"{}".to_vec(), c::LEADER_RENEW_CALL_MS, purpose);
     }
 
-    pub(super) fn renewed(&mut self, tenancy: u64, _sent: u64, reply: Option<(u16, Vec<u8>)>) {
+    pub(super) fn renewed(&mut self, tenancy: u64, reply: Option<(u16, Vec<u8>)>) {
         let now = self.now.mono;
         let Some(l) = self.leader.as_mut().filter(|l| l.tenancy == tenancy) else {
             return;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -94,7 +94,7 @@
     Fresh { begun: u64 },
     Hold,
     Elect { tenancy: u64, term: u64 },
-    Renew { tenancy: u64, sent: u64 },
+    Renew { tenancy: u64 },
     StepDown,
     LeaderCommit { term: u64 },
     Submit { asker: Asker, spec: Rc<Spec>, at: u64, commit: Commit },
@@ -271,7 +271,7 @@
             Purpose::Fresh { begun } => self.fresh_read(begun, reply),
             Purpose::Hold => self.hold_given(reply),
             Purpose::Elect { tenancy, term } => self.elected(tenancy, term, reply),
-            Purpose::Renew { tenancy, sent } => self.renewed(tenancy, sent, reply),
+            Purpose::Renew { tenancy } => self.renewed(tenancy, reply),
             Purpose::StepDown => {}
             Purpose::LeaderCommit { term } => self.leader_committed(term, reply),
             Purpose::Submit { asker, spec, at, commit } => {
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -279,8 +279,7 @@
         let job = &self.s.jobs[j];
         let mut with = self.used[job.team];
         with += job.need;
-        let limit = &self.s.teams[job.team].limit;
-        (limit.cpu == 0 || with.cpu <= limit.cpu) && (limit.gpu == 0 || with.gpu <= limit.gpu)
+        with.under(&self.s.teams[job.team].limit)
     }
 
     /// Milliseconds for which a task that starts then waits for its image.
@@ -515,10 +514,7 @@
             for _ in 0..self.waiting[j].min(c::JOB_TASKS_PER_PASS as u32) {
                 let mut with = used[job.team];
                 with += job.need;
-                let limit = &self.s.teams[job.team].limit;
-                if (limit.cpu > 0 && with.cpu > limit.cpu)
-                    || (limit.gpu > 0 && with.gpu > limit.gpu)
-                {
+                if !with.under(&self.s.teams[job.team].limit) {
                     break;
                 }
                 // Where the least is lost, by the image that has to be fetched and by what is
@@ -588,9 +584,7 @@
                 let lower = r.rank > job.rank;
                 let borrowed = within
                     && r.team.is_some_and(|t| {
-                        t != job.team
-                            && !self.s.teams[t].guarantee.eq(&Resources::default())
-                            && !within_or_none(&self.used[t], &self.s.teams[t].guarantee)
+                        t != job.team && !self.used[t].under(&self.s.teams[t].guarantee)
                     });
                 lower || borrowed
             })
@@ -678,15 +672,7 @@
 
 /// Whether a use lies within a guarantee; a team with none has nothing within it.
 pub fn within(used: &Resources, guarantee: &Resources) -> bool {
-    if guarantee.cpu == 0 && guarantee.gpu == 0 {
-        return false;
-    }
-    (guarantee.cpu == 0 || used.cpu <= guarantee.cpu)
-        && (guarantee.gpu == 0 || used.gpu <= guarantee.gpu)
-}
-
-fn within_or_none(used: &Resources, guarantee: &Resources) -> bool {
-    (guarantee.cpu == 0 && guarantee.gpu == 0) || within(used, guarantee)
+    (guarantee.cpu != 0 || guarantee.gpu != 0) && used.under(guarantee)
 }
 
 #[cfg(test)]
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -130,7 +130,7 @@
         let n = if spec.shape == Shape::Standing { i64::from(spec.loads) } else { 1 };
         let all = need * n;
         let limit = Resources::new(team.cpus_max, team.gpus_max, 0.0);
-        if (limit.cpu > 0 && all.cpu > limit.cpu) || (limit.gpu > 0 && all.gpu > limit.gpu) {
+        if !all.under(&limit) {
             return Err((422, "more than the team's limit".into()));
         }
         Ok(())
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -29,6 +29,11 @@
         need.cpu <= self.cpu && need.gpu <= self.gpu && need.ram <= self.ram
     }
 
+    /// Whether it keeps a cap on cores and GPUs, of which 0 means none.
+    pub fn under(&self, cap: &Resources) -> bool {
+        (cap.cpu == 0 || self.cpu <= cap.cpu) && (cap.gpu == 0 || self.gpu <= cap.gpu)
+    }
+
     /// How many times `need` fits.
     pub fn times(&self, need: &Resources) -> i64 {
         let one = |have: i64, n: i64| if n > 0 { have.max(0) / n } else { i64::MAX };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -12,6 +12,15 @@
     w
 }
 
+/// With job-000001, a service, up and running.
+fn with_service(replicas: u32) -> World {
+    let mut w = settled();
+    let s = w.spec(1, "standing", replicas);
+    w.submit(s, u64::MAX, 0);
+    w.run(8_000);
+    w
+}
+
 #[test]
 fn a_job_is_accepted_run_and_done() {
     let mut w = settled();
@@ -79,10 +88,7 @@
 
 #[test]
 fn a_leader_that_only_workers_reach_makes_way_and_nothing_runs_twice() {
-    let mut w = settled();
-    let s = w.spec(1, "standing", 3);
-    w.submit(s, u64::MAX, 0);
-    w.run(8_000);
+    let mut w = with_service(3);
     let old = w.leader().expect("leads");
     w.nodes[old].cut_state = true;
     w.nodes[old].cut_peers = true;
@@ -104,10 +110,7 @@
 
 #[test]
 fn a_cancellation_holds_against_a_leader_that_can_not_hear_of_it() {
-    let mut w = settled();
-    let s = w.spec(1, "standing", 3);
-    w.submit(s, u64::MAX, 0);
-    w.run(8_000);
+    let mut w = with_service(3);
     let old = w.leader().expect("leads");
     w.nodes[old].cut_state = true;
     w.nodes[old].cut_peers = true;
@@ -157,10 +160,7 @@
 
 #[test]
 fn tasks_of_a_cut_machine_start_elsewhere_only_after_its_lease() {
-    let mut w = settled();
-    let s = w.spec(1, "standing", 2);
-    w.submit(s, u64::MAX, 0);
-    w.run(8_000);
+    let mut w = with_service(2);
     let name =
         w.workers.iter().find(|(_, x)| x.is_on("job-000001")).map(|(n, _)| n.clone()).unwrap();
     let starts = w.jobs["job-000001"].starts;
@@ -207,10 +207,7 @@
 
 #[test]
 fn running_work_survives_an_outage_of_the_state_service() {
-    let mut w = settled();
-    let s = w.spec(1, "standing", 2);
-    w.submit(s, u64::MAX, 0);
-    w.run(8_000);
+    let mut w = with_service(2);
     let starts = w.jobs["job-000001"].starts;
     w.state.outage = true;
     w.run(3_000);
@@ -248,10 +245,7 @@
 
 #[test]
 fn a_roll_of_all_controllers_stops_no_service() {
-    let mut w = settled();
-    let s = w.spec(1, "standing", 4);
-    w.submit(s, u64::MAX, 0);
-    w.run(8_000);
+    let mut w = with_service(4);
     let starts = w.jobs["job-000001"].starts;
     for i in 0..3 {
         w.crash(i, 2_000);
@@ -263,10 +257,7 @@
 #[test]
 fn a_failed_machine_is_returned_at_once_also_by_a_leader_that_never_heard_it() {
     // Such machines once stayed for 45 s and held capacity.
-    let mut w = settled();
-    let s = w.spec(1, "standing", 2);
-    w.submit(s, u64::MAX, 0);
-    w.run(8_000);
+    let mut w = with_service(2);
     let starts = w.jobs["job-000001"].starts;
     let name = w.workers.iter().find(|(_, x)| x.is_on("job-000001")).unwrap().0.clone();
     w.fail_machine(&name);
@@ -465,24 +456,9 @@
     w.run(6_000);
     let other =
         w.workers.iter().find(|(_, x)| !x.is_on("job-000001")).map(|(n, _)| n.clone()).unwrap();
-    w.jobs.insert("job-000077".into(), w_job(&w));
+    let unknown = Job::new(w.spec(77, "standing", 1), 1, u64::MAX);
+    w.jobs.insert("job-000077".into(), unknown);
     w.plant(&other, "job-000077", 0, 5);
     w.run(6_000);
     assert!(!w.workers[&other].is_on("job-000077"));
 }
-
-fn w_job(w: &World) -> Job {
-    Job {
-        spec: w.spec(77, "standing", 1),
-        loads: 1,
-        run_ms: u64::MAX,
-        accepted_at: None,
-        done_tasks: Default::default(),
-        done_told: false,
-        withdrawn_told: None,
-        asked_withdraw: false,
-        last_status: String::new(),
-        bad: false,
-        starts: 0,
-    }
-}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -273,6 +273,24 @@
     pub starts: u32,
 }
 
+impl Job {
+    pub fn new(spec: Value, loads: u32, run_ms: u64) -> Job {
+        Job {
+            spec,
+            loads,
+            run_ms,
+            accepted_at: None,
+            done_tasks: BTreeSet::new(),
+            done_told: false,
+            withdrawn_told: None,
+            asked_withdraw: false,
+            last_status: String::new(),
+            bad: false,
+            starts: 0,
+        }
+    }
+}
+
 /// A user's request.
 pub struct Asked {
     uid: String,
@@ -445,19 +463,7 @@
     pub fn submit(&mut self, spec: Value, run_ms: u64, node: usize) -> u64 {
         let uid = spec["uid"].as_str().unwrap().to_string();
         let loads = spec["loads"].as_u64().unwrap_or(0) as u32;
-        self.jobs.entry(uid.clone()).or_insert(Job {
-            spec: spec.clone(),
-            loads,
-            run_ms,
-            accepted_at: None,
-            done_tasks: BTreeSet::new(),
-            done_told: false,
-            withdrawn_told: None,
-            asked_withdraw: false,
-            last_status: String::new(),
-            bad: false,
-            starts: 0,
-        });
+        self.jobs.entry(uid.clone()).or_insert(Job::new(spec.clone(), loads, run_ms));
         self.ask(node, &uid, "submit", "POST", "/v1/jobs".into(), spec.to_string().into_bytes())
     }
 
