A pass looks only at machines with room, and works out later places only where it must

Every task placed sorted all machines and worked out every later start on each; one placement made every choice of its team anew.

Now a start now is sought among machines with something free; later places are worked out only if none of these is under all thresholds (the outcome is the same); a choice is made anew when its turn comes and its machine has changed. Jobs that have waited too long go first for a part of the places, since late ones stood behind those that can still be in time for ever.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -232,6 +232,8 @@
     pub fail_pause_ms: u64,
     pub paused_until: u64,
     pub successes: u32,
+    /// A task of it was seen running.
+    pub begun: bool,
 }
 
 impl Job {
@@ -349,6 +351,7 @@
             fail_pause_ms: 0,
             paused_until: 0,
             successes: 0,
+            begun: false,
         };
         for m in self.machines.values_mut() {
             for ((j, task), p) in &mut m.placements {
--- a/src/bookkeeping/reservation.rs
+++ b/src/bookkeeping/reservation.rs
@@ -22,6 +22,8 @@
     pub free: Resources,
     /// Shared bandwidth there is, in cores' worth.
     pub capacity: f64,
+    /// Shared bandwidth that all tasks together take, in cores' worth.
+    pub demand: f64,
     pub buckets: Vec<Bucket>,
     /// Places that waiting tasks count on: start, end, what they take. They hold nothing;
     /// they only tell others that they would not be alone.
@@ -59,6 +61,7 @@
     /// Adds a task from now on.
     pub fn add(&mut self, b: Bucket) {
         self.free -= b.need;
+        self.demand += b.bandwidth;
         self.buckets.push(b);
     }
 
@@ -74,7 +77,7 @@
 
     /// Penalized milliseconds of a task that would run in `[start, start + length]`.
     pub fn penalized_ms(&self, start: u64, length: u64, bandwidth: f64) -> f64 {
-        if self.capacity <= 0.0 {
+        if self.capacity <= 0.0 || self.demand + bandwidth <= self.capacity {
             return 0.0;
         }
         let end = start + length;
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -190,6 +190,16 @@
 pub const PLACES_PER_PASS: usize = 128;
 /// Later places that one pass works out for waiting tasks; bounds its time.
 pub const CLAIMS_PER_PASS: usize = 96;
+/// Milliseconds of waiting after which a job of which no task ever started goes first,
+/// whatever its rank: users want the largest jobs to begin within four minutes, a place may
+/// have to be waited for (half a minute) and its image fetched (up to one and a half).
+pub const AGED_MS: u64 = 120_000;
+/// Milliseconds after which a job that has begun gets its part of the places ahead of
+/// jobs that can still be in time.
+pub const AGED_LATE_MS: u64 = 240_000;
+/// One in so many of the free places goes to jobs that have waited too long: enough that
+/// they end, and little enough that others are not late for them.
+pub const AGED_PLACES: usize = 4;
 /// Milliseconds from now beyond which a later place tells nothing: estimates are too wrong.
 pub const CLAIM_HORIZON_MS: u64 = 90_000;
 /// Milliseconds a started task is left alone before it may be stopped for others: a
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -806,6 +806,9 @@
             v.machines.push(m.name.clone());
             v.handles.push(handles);
         }
+        let index: HashMap<&Name, usize> =
+            v.machines.iter().enumerate().map(|(i, m)| (m, i)).collect();
+        let mut names: Vec<Name> = Vec::new();
         // What each team's unfinished jobs take together, up to the one looked at.
         let mut claimed = vec![Resources::default(); cfg.params.teams.len()];
         for uid in books.queue.values() {
@@ -848,9 +851,10 @@
                 },
                 None => None,
             };
-            let avoid = (0..v.machines.len())
-                .filter(|m| !job.suspect() && job.failed_on.contains(&v.machines[*m]))
-                .collect();
+            let avoid = match job.suspect() {
+                true => vec![],
+                false => job.failed_on.iter().filter_map(|m| index.get(m).copied()).collect(),
+            };
             let within = planner::within(&claimed[team], &guarantee(&cfg.params.teams[team]));
             let waited_ms = clock.wall.saturating_sub(job.at_wall);
             let run_ms = l.run_ms(spec);
@@ -880,12 +884,14 @@
                 zone_cap: spec.zone_cap(),
                 together: spec.together,
                 waiting,
+                begun: job.begun || job.done_count > 0 || !job.placed.is_empty(),
                 kit: kit_of(&spec.kit),
                 size_gb: spec.size_gb,
                 avoid,
             });
-            v.jobs.push(uid.clone());
+            names.push(uid.clone());
         }
+        v.jobs = names;
         for t in &cfg.params.teams {
             v.snapshot.teams.push(TeamView {
                 used: books.usage.get(&t.name).copied().unwrap_or_default(),
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -15,6 +15,7 @@
 use crate::constants as c;
 use crate::protocol::users::Rank;
 use crate::protocol::Resources;
+use std::collections::HashMap;
 
 /// A task that runs, as far as planning goes.
 #[derive(Debug, Clone)]
@@ -79,12 +80,21 @@
     pub zone_cap: u32,
     pub together: bool,
     pub waiting: u32,
+    /// A task of it has started before, or is placed.
+    pub begun: bool,
     pub kit: usize,
     pub size_gb: f64,
     /// Machines it must not use for now (it failed there), by index.
     pub avoid: Vec<usize>,
 }
 
+impl JobView {
+    /// Whether it has waited for longer than anyone should.
+    fn aged(&self) -> bool {
+        self.waited_ms >= if self.begun { c::AGED_LATE_MS } else { c::AGED_MS }
+    }
+}
+
 /// A team.
 #[derive(Debug, Clone, Default)]
 pub struct TeamView {
@@ -137,6 +147,9 @@
     slowdown: f64,
 }
 
+/// How much a place is liked among places that are alike, the least first.
+type Taste = (u32, u8, i64, i64, usize);
+
 struct Pass<'a> {
     s: &'a Snapshot,
     rows: Vec<Row>,
@@ -154,12 +167,19 @@
     /// Machine, time, what is kept there.
     reserved: Option<(usize, u64, Resources)>,
     claims: usize,
+    /// Machines with anything free: only these are looked at for a start now.
+    roomy: Vec<usize>,
+    /// How often something was placed on each machine in this pass: tells whether a choice
+    /// worked out earlier still holds.
+    changes: Vec<u32>,
+    /// Places that jobs which have waited too long may still take ahead of the others.
+    aged_left: usize,
     plan: Plan,
 }
 
 /// Runs one pass.
 pub fn plan(s: &Snapshot) -> Plan {
-    let rows = s
+    let rows: Vec<Row> = s
         .machines
         .iter()
         .map(|m| {
@@ -174,9 +194,14 @@
             row
         })
         .collect();
+    let least = least_need(s);
+    let roomy = (0..rows.len()).filter(|m| rows[*m].free.fits(&least)).collect();
     let mut pass = Pass {
         s,
         rows,
+        roomy,
+        changes: vec![0; s.machines.len()],
+        aged_left: 0,
         slots: s.machines.iter().map(|m| m.slots).collect(),
         standing: s
             .machines
@@ -204,7 +229,21 @@
             let job = &self.s.jobs[*j];
             (job.rank, !job.within, self.over_share(*j), job.missed, job.arrival)
         });
+        // Whoever has waited too long goes first, the oldest ahead, for a part of the places:
+        // jobs that are late in any case would otherwise wait for ever behind those that can
+        // still be in time.
+        let mut aged: Vec<usize> =
+            order.iter().copied().filter(|j| self.s.jobs[*j].aged()).collect();
+        aged.sort_by_key(|j| (self.s.jobs[*j].begun, self.s.jobs[*j].arrival));
         order.truncate(c::JOBS_PER_PASS);
+        aged.truncate(c::JOBS_PER_PASS);
+        self.aged_left = match aged.is_empty() {
+            true => 0,
+            false => (self.places_now() / c::AGED_PLACES).max(1),
+        };
+        for &j in &aged {
+            self.age(j);
+        }
         self.make_room(&order);
         // Heads that can start now start; the first that can't gets the reservation.
         let mut rest = Vec::new();
@@ -240,6 +279,22 @@
         self.plan.unmet = self.waiting.clone();
     }
 
+    /// Places for a task like the smallest that waits.
+    fn places_now(&self) -> usize {
+        let least = least_need(self.s);
+        self.roomy.iter().map(|m| self.rows[*m].free.times(&least).max(0) as usize).sum()
+    }
+
+    /// Starts tasks of a job that has waited too long: one if none ever started, whatever
+    /// its rank, and the next ones as long as the part kept for such jobs lasts.
+    fn age(&mut self, j: usize) {
+        while self.aged_left > 0 && self.waiting[j] > 0 && !self.full() {
+            let Some(a) = self.allocate(j, false) else { return };
+            self.place(j, a);
+            self.aged_left -= 1;
+        }
+    }
+
     fn full(&self) -> bool {
         self.plan.places.len() >= c::PLACES_PER_PASS
     }
@@ -338,7 +393,7 @@
     /// with fewer replicas of the job; other work fills the holes beside them, which are paid
     /// for anyway, then the kind of machine that it alone can use, the fullest first, so that
     /// whole machines fall empty.
-    fn taste(&self, j: usize, m: usize) -> (u32, u8, i64, i64, usize) {
+    fn taste(&self, j: usize, m: usize) -> Taste {
         let job = &self.s.jobs[j];
         let machine = &self.s.machines[m];
         let free = self.rows[m].free;
@@ -356,41 +411,53 @@
     }
 
     /// LessConsume Threshold for every threshold; the allocation of least slowdown.
+    ///
+    /// A place that is free now and whose factor is under all thresholds is what every one of
+    /// them yields, so later places are worked out only where there is none: at hundreds of
+    /// machines they are nearly all the work.
     fn allocate(&self, j: usize, may_wait: bool) -> Option<Allocation> {
         if !self.within_limit(j) {
             return None;
         }
         let now = self.s.now;
-        let mut machines: Vec<usize> =
-            (0..self.s.machines.len()).filter(|m| self.allowed(j, *m)).collect();
-        machines.sort_by_key(|m| self.taste(j, *m));
-        // At each machine the first time that there is room, and later ones as long as they
-        // lower the factor.
-        let mut all: Vec<Allocation> = Vec::new();
-        for m in machines {
-            let mut last = f64::INFINITY;
-            let times = if may_wait { self.rows[m].starts(now) } else { vec![now] };
-            for t in times {
-                let Some(a) = self.at(j, m, t).filter(|a| a.factor < last) else { continue };
-                last = a.factor;
-                all.push(a);
-                if a.factor <= 1.0 {
-                    break;
-                }
+        let need = &self.s.jobs[j].need;
+        // Among places that are free now, the least factor, then taste.
+        let mut least: Option<(Allocation, Taste)> = None;
+        let mut first: Option<(Allocation, Taste)> = None;
+        for &m in &self.roomy {
+            if !self.rows[m].free.fits(need) || !self.allowed(j, m) {
+                continue;
+            }
+            let Some(a) = self.at(j, m, now) else { continue };
+            let taste = self.taste(j, m);
+            if first.as_ref().is_none_or(|(_, t)| taste < *t) {
+                first = Some((a, taste));
             }
+            let better = least
+                .as_ref()
+                .is_none_or(|(b, t)| a.factor < b.factor || (a.factor == b.factor && taste < *t));
+            if better {
+                least = Some((a, taste));
+            }
+        }
+        let lowest = self.s.thresholds.iter().copied().fold(f64::INFINITY, f64::min);
+        if !may_wait || least.as_ref().is_some_and(|(a, _)| a.factor < lowest) {
+            return least.map(|(a, _)| a);
         }
+        let mut all: Vec<(Allocation, Taste)> = self.later(j, now);
         if let Some((rj, rm)) = self.s.reserved {
-            if rj == j && all.iter().any(|a| a.machine == rm) {
-                all.retain(|a| a.start <= now || a.machine == rm);
+            if rj == j && all.iter().any(|(a, _)| a.machine == rm) {
+                all.retain(|(a, _)| a.machine == rm);
             }
         }
-        // First fit is the earliest start, in the order of taste (the sort is stable).
-        all.sort_by_key(|a| a.start);
+        all.extend(first.into_iter().chain(least));
+        // First fit is the earliest start, in the order of taste.
+        all.sort_by(|(a, t), (b, u)| a.start.cmp(&b.start).then(t.cmp(u)));
         let mut best: Option<Allocation> = None;
         for threshold in &self.s.thresholds {
             // Swap less loaded slots in; accept later starts until the factor is under it.
             let mut chosen: Option<Allocation> = None;
-            for a in &all {
+            for (a, _) in &all {
                 if let Some(c) = &chosen {
                     if c.factor < *threshold && a.start > c.start {
                         break;
@@ -408,7 +475,7 @@
         }
         // First fit itself stands beside the thresholds: with all factors high they would
         // only wait.
-        if let Some(a) = all.first() {
+        if let Some((a, _)) = all.first() {
             if best.is_none_or(|b| a.slowdown < b.slowdown) {
                 best = Some(*a);
             }
@@ -416,6 +483,31 @@
         best
     }
 
+    /// At each machine the first time after now that there is room, and later ones as long as
+    /// they lower the factor.
+    fn later(&self, j: usize, now: u64) -> Vec<(Allocation, Taste)> {
+        let need = &self.s.jobs[j].need;
+        let mut all = Vec::new();
+        for m in (0..self.s.machines.len()).filter(|m| self.allowed(j, *m)) {
+            let row = &self.rows[m];
+            let mut last = match row.free.fits(need) {
+                true => self.at(j, m, now).map_or(f64::INFINITY, |a| a.factor),
+                false => f64::INFINITY,
+            };
+            for t in row.starts(now) {
+                if last <= 1.0 {
+                    break;
+                }
+                let Some(a) = self.at(j, m, t).filter(|a| t > now && a.factor < last) else {
+                    continue;
+                };
+                last = a.factor;
+                all.push((a, self.taste(j, m)));
+            }
+        }
+        all
+    }
+
     fn place(&mut self, j: usize, a: Allocation) {
         let job = &self.s.jobs[j];
         let m = a.machine;
@@ -430,6 +522,7 @@
         if !self.kits[m].iter().any(|(k, _)| *k == job.kit) {
             self.kits[m].push((job.kit, fetch));
         }
+        self.changes[m] += 1;
         self.in_zone[j][self.s.machines[m].zone] += 1;
         self.waiting[j] -= 1;
         self.used[job.team] += job.need;
@@ -438,31 +531,31 @@
 
     /// Jobs that start now without delaying the reservation, by penalty factor, then length.
     fn backfill(&mut self, rest: &[usize]) {
-        // One computed choice per job, made anew where its machine changed.
-        let mut choice: Vec<(usize, Option<Allocation>)> = Vec::with_capacity(rest.len());
+        // One computed choice per job. What is placed only takes room, so a choice whose
+        // machine has changed since is worked out anew only when its turn comes.
+        let mut choice: Vec<(usize, Option<Allocation>, u32)> = Vec::with_capacity(rest.len());
         for &j in rest {
             let a = self.start_now(j);
-            choice.push((j, a));
+            choice.push((j, a, a.map_or(0, |a| self.changes[a.machine])));
         }
         while !self.full() {
-            let best =
-                choice.iter().filter_map(|(j, a)| a.map(|a| (*j, a))).min_by(|(j, a), (k, b)| {
+            let best = choice
+                .iter()
+                .enumerate()
+                .filter_map(|(n, (j, a, seen))| a.map(|a| (n, *j, a, *seen)))
+                .min_by(|(_, j, a, _), (_, k, b, _)| {
                     let missed = |j: &usize| self.s.jobs[*j].missed;
                     missed(j)
                         .cmp(&missed(k))
                         .then(a.factor.total_cmp(&b.factor))
                         .then(a.length.cmp(&b.length))
                 });
-            let Some((j, a)) = best else { return };
-            self.place(j, a);
-            let team = self.s.jobs[j].team;
-            for entry in &mut choice {
-                let (k, old) = *entry;
-                let Some(old) = old else { continue };
-                if k == j || self.s.jobs[k].team == team || old.machine == a.machine {
-                    entry.1 = self.start_now(k);
-                }
+            let Some((n, j, a, seen)) = best else { return };
+            if self.changes[a.machine] == seen && self.within_limit(j) {
+                self.place(j, a);
             }
+            let a = self.start_now(j);
+            choice[n] = (j, a, a.map_or(0, |a| self.changes[a.machine]));
         }
     }
 
@@ -505,6 +598,16 @@
         let mut stopped: Vec<Vec<bool>> =
             self.s.machines.iter().map(|m| m.running.iter().map(|r| r.halting).collect()).collect();
         let mut used = self.used.clone();
+        // What could be stopped on each machine for each rank, at the most: a quick look that
+        // spares the search where nothing would come of it.
+        let borrows: Vec<bool> = (0..self.s.teams.len())
+            .map(|t| !self.used[t].under(&self.s.teams[t].guarantee))
+            .collect();
+        let may_stop = |r: &Running, rank: Rank, within: bool, team: usize| {
+            r.rank > rank || within && r.team.is_some_and(|t| t != team && borrows[t])
+        };
+        let mut softest: Vec<HashMap<(Rank, bool, usize), Resources>> =
+            vec![HashMap::new(); self.rows.len()];
         for &j in order {
             let job = &self.s.jobs[j];
             let within = job.within;
@@ -519,23 +622,48 @@
                 }
                 // Where the least is lost, by the image that has to be fetched and by what is
                 // stopped; a place where there is room wins over one like it.
-                let mut best: Option<(u64, usize, Vec<usize>)> = None;
-                let mut machines: Vec<usize> =
-                    (0..room.len()).filter(|m| self.allowed(j, *m)).collect();
-                machines.sort_by_key(|m| self.taste(j, *m));
-                for m in machines {
+                let mut best: Option<(u64, Taste, usize, Vec<usize>)> = None;
+                for m in 0..room.len() {
+                    let here = room[m].fits(&job.need);
+                    if !here {
+                        let most =
+                            softest[m].entry((job.rank, within, job.team)).or_insert_with(|| {
+                                let mut most = Resources::default();
+                                for r in &self.s.machines[m].running {
+                                    if !r.halting && may_stop(r, job.rank, within, job.team) {
+                                        most += r.need;
+                                    }
+                                }
+                                most
+                            });
+                        let mut most = *most;
+                        most += room[m];
+                        if !most.fits(&job.need) {
+                            continue;
+                        }
+                    }
+                    if !self.allowed(j, m) {
+                        continue;
+                    }
                     let fetch = self.fetch_ms(j, m, self.s.now);
-                    let choice = if room[m].fits(&job.need) {
+                    if best.as_ref().is_some_and(|(cost, ..)| fetch > *cost) {
+                        continue;
+                    }
+                    let choice = if here {
                         Some((0, Vec::new()))
                     } else {
                         self.victims(j, m, room[m], &stopped[m], within)
                     };
                     let Some((lost, victims)) = choice else { continue };
-                    if best.as_ref().is_none_or(|(cost, _, _)| lost + fetch < *cost) {
-                        best = Some((lost + fetch, m, victims));
+                    let (cost, taste) = (lost + fetch, self.taste(j, m));
+                    let better = best
+                        .as_ref()
+                        .is_none_or(|(b, t, ..)| cost < *b || (cost == *b && taste < *t));
+                    if better {
+                        best = Some((cost, taste, m, victims));
                     }
                 }
-                let Some((_, m, victims)) = best else { break };
+                let Some((_, _, m, victims)) = best else { break };
                 if victims.is_empty() {
                     if !self.rows[m].free.fits(&job.need) {
                         self.held[m] += job.need;
@@ -612,6 +740,12 @@
     }
 }
 
+/// The least that any waiting task takes, in each dimension.
+fn least_need(s: &Snapshot) -> Resources {
+    let of = |f: fn(&Resources) -> i64| s.jobs.iter().map(|j| f(&j.need)).min().unwrap_or(0);
+    Resources { cpu: of(|r| r.cpu), gpu: of(|r| r.gpu), ram: of(|r| r.ram) }
+}
+
 fn all_machines(s: &Snapshot) -> Resources {
     let mut total = Resources::default();
     for m in &s.machines {
@@ -734,6 +868,7 @@
             zone_cap: 100,
             together: false,
             waiting: 1,
+            begun: false,
             kit: 0,
             size_gb: 5.0,
             avoid: vec![],
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -157,9 +157,9 @@
             }
         }
         for ((job, task), placed_at) in running {
-            let Some(spec) = l.books.jobs.get(&job).and_then(|j| j.spec.clone()) else {
-                continue;
-            };
+            let Some(j) = l.books.jobs.get_mut(&job) else { continue };
+            j.begun = true;
+            let Some(spec) = j.spec.clone() else { continue };
             let room = catalog
                 .iter()
                 .flat_map(|c| &c.builds)
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -21,7 +21,7 @@
 }
 
 /// Priority, highest first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rank {
     Production,
