--- a/examples/platform.rs
+++ b/examples/platform.rs
@@ -284,7 +284,12 @@
 fn end_of(world: &Shared, load: &str) -> Option<Instant> {
     let job = load.split('/').next().unwrap_or_default();
     let w = world.lock().unwrap();
-    let spec = &w.keys.get(&format!("mg/job/{job}"))?.0["spec"];
+    let mut specs = w
+        .keys
+        .iter()
+        .filter(|(k, _)| k.starts_with(&mountgap::bookkeeping::records::batch_key("")))
+        .flat_map(|(_, v)| v.0["jobs"].as_array().into_iter().flatten());
+    let spec = specs.find(|s| s["uid"] == job)?;
     let run = spec["run_guess_s"].as_f64().unwrap_or(0.0);
     (spec["shape"] == "batch").then(|| Instant::now() + Duration::from_secs_f64(run))
 }
--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -10,7 +10,7 @@
 use crate::protocol::users::{Shape, Spec};
 use crate::protocol::workers::{Cause, TaskStatus};
 use crate::protocol::Resources;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// How far a placement has come.
@@ -46,6 +46,8 @@
     pub halt: Option<Halt>,
     /// Settled by evidence; taken out once that is committed.
     pub ended: Option<Cause>,
+    /// The group of placements in the store that names it.
+    pub group: Option<u32>,
 }
 
 impl Placement {
@@ -60,6 +62,7 @@
             placed_at: now,
             halt: None,
             ended: None,
+            group: None,
         }
     }
 }
@@ -114,11 +117,8 @@
     pub placements: BTreeMap<TaskId, Placement>,
     /// Images it holds, newest last, with their size.
     pub kits: Vec<(String, f64)>,
-    pub key_stamp: u64,
-    /// Its key must be written.
-    pub dirty: bool,
-    /// ... before the next batch.
-    pub urgent: bool,
+    /// Placements on it that are not in the store yet.
+    pub proposed: u32,
     /// Set aside: gets no new tasks and is returned when empty.
     pub draining: bool,
     /// The cloud lists it as failed: nothing runs there any more.
@@ -155,9 +155,7 @@
             lapsed: false,
             placements: BTreeMap::new(),
             kits: Vec::new(),
-            key_stamp: 0,
-            dirty: false,
-            urgent: false,
+            proposed: 0,
             draining: false,
             failed: false,
             closing: false,
@@ -181,25 +179,6 @@
             self.kits.remove(0);
         }
     }
-
-    /// Marks its key for writing.
-    pub fn touch(&mut self, urgent: bool) {
-        self.dirty = true;
-        self.urgent |= urgent;
-    }
-
-    /// The value of its key. Placements that ended are left out.
-    pub fn record(&self) -> PlaceRec {
-        PlaceRec {
-            tasks: self
-                .placements
-                .iter()
-                .filter(|(_, p)| p.ended.is_none())
-                .map(|((job, task), p)| (job.to_string(), *task, p.attempt))
-                .collect(),
-            kits: self.kits.clone(),
-        }
-    }
 }
 
 /// A job that is not over, or still has tasks on machines.
@@ -210,15 +189,17 @@
     pub spec: Option<Rc<Spec>>,
     pub need: Resources,
     pub stage: Stage,
-    /// Stamp of the job's key; the arrival number while the job is live.
-    pub stamp: u64,
+    /// Grows from job to job.
+    pub arrival: u64,
     /// Time of day of its acceptance.
     pub at_wall: u64,
     pub loads: u32,
     pub done: Bitmap,
     pub done_count: u32,
+    /// Chunks of the bitmap that the store does not have as they are.
     pub dirty_chunks: BTreeSet<u32>,
-    pub chunk_stamps: HashMap<u32, u64>,
+    /// The group of bitmaps that holds a chunk.
+    pub chunk_groups: HashMap<u32, u32>,
     /// Tasks from here on were never placed.
     pub next_fresh: u32,
     /// Tasks below that wait again.
@@ -262,6 +243,12 @@
         }
     }
 
+    /// Bytes that a chunk of its bitmap takes in the store, at the most.
+    pub fn chunk_bytes(&self, chunk: u32) -> usize {
+        let tasks = self.loads.saturating_sub(chunk * c::DONE_CHUNK_TASKS).min(c::DONE_CHUNK_TASKS);
+        chunk_name(&self.uid, chunk).len() + 16 * tasks.div_ceil(64) as usize + 6
+    }
+
     /// Whether every task is done.
     pub fn complete(&self) -> bool {
         self.stage == Stage::Live && self.done_count >= self.loads
@@ -276,6 +263,30 @@
 /// What a team uses, unsettled work included.
 pub type Usage = HashMap<String, Resources>;
 
+/// A stored group of placements: one key of the store.
+#[derive(Debug, Default)]
+pub struct Group {
+    pub stamp: u64,
+    /// What the store has, with the machine and the length of the text.
+    pub tasks: BTreeMap<(TaskId, u64), (Name, usize)>,
+    /// Bytes of the value.
+    pub bytes: usize,
+    /// Settled placements to take out.
+    pub leaving: BTreeSet<(TaskId, u64)>,
+    /// One of them must be out soon: its task waits for that.
+    pub urgent: bool,
+}
+
+/// A stored group of bitmaps.
+#[derive(Debug, Default)]
+pub struct DoneGroup {
+    pub stamp: u64,
+    /// Job and chunk, with the bytes that it takes at the most.
+    pub chunks: BTreeMap<(Name, u32), usize>,
+    pub bytes: usize,
+    pub dirty: bool,
+}
+
 /// The books.
 #[derive(Debug, Default)]
 pub struct Books {
@@ -284,6 +295,16 @@
     pub queue: BTreeMap<u64, Name>,
     pub machines: BTreeMap<Name, Machine>,
     pub usage: Usage,
+    pub groups: BTreeMap<u32, Group>,
+    pub done_groups: BTreeMap<u32, DoneGroup>,
+    /// Placements that wait to be stored, in the order decided.
+    pub proposals: VecDeque<(Name, TaskId)>,
+    /// Placements that ended without being in any group.
+    pub loose: Vec<(Name, TaskId)>,
+    /// Live jobs whose tasks are all done.
+    pub complete: BTreeSet<Name>,
+    /// Images on machines that are not known yet in this term.
+    pub kits_told: HashMap<Name, Vec<(String, f64)>>,
     /// Keys to remove when there is room in a commit: key, stamp.
     pub garbage: Vec<(String, u64)>,
 }
@@ -292,36 +313,69 @@
     /// Builds the books at the start of a term. Every placement counts as possibly running.
     pub fn from_replica(r: &Replica, now: u64) -> Books {
         let mut b = Books::default();
-        for (name, place) in &r.places {
-            if place.value.tasks.is_empty() && place.value.kits.is_empty() {
-                b.garbage.push((place_key(name), place.stamp));
-                continue;
+        for part in r.kits.values() {
+            for (machine, held) in &part.value.held {
+                let kits = held.iter().filter_map(|i| part.value.kits.get(*i).cloned()).collect();
+                b.kits_told.insert(machine.as_str().into(), kits);
             }
-            let mut m = Machine::new(name.clone(), now);
-            m.life = Life::Unheard;
-            m.key_stamp = place.stamp;
-            m.kits = place.value.kits.clone();
-            for (job, task, attempt) in &place.value.tasks {
-                let p = Placement::new(*attempt, Phase::Committed, now);
-                m.placements.insert((Name::from(job.as_str()), *task), p);
+        }
+        let mut placed: HashMap<Name, Vec<(u32, Name)>> = HashMap::new();
+        for (n, rec) in &r.places {
+            let mut group = Group { stamp: rec.stamp, ..Group::default() };
+            for p in rec.value.placed() {
+                let id: TaskId = (p.uid(), p.task);
+                let name: Name = p.machine.into();
+                let text = Placed::text(&id.0, p.task, p.machine, p.attempt).unwrap_or_default();
+                group.bytes += text.len() + 1;
+                group.tasks.insert((id.clone(), p.attempt), (name.clone(), text.len() + 1));
+                let m = b.machine_entry(&name, now);
+                m.life = Life::Unheard;
+                if m.placements.contains_key(&id) {
+                    log::error!("{}/{}: stored twice on {name}", id.0, id.1);
+                    group.leaving.insert((id, p.attempt));
+                    continue;
+                }
+                let mut held = Placement::new(p.attempt, Phase::Committed, now);
+                held.group = Some(*n);
+                m.placements.insert(id.clone(), held);
+                placed.entry(id.0).or_default().push((id.1, name));
             }
-            b.machines.insert(name.clone(), m);
+            b.groups.insert(*n, group);
         }
         for (uid, job) in &r.jobs {
-            if job.value.stage == Stage::Live || r.placed(uid) > 0 {
-                b.add_job(r, uid);
+            let on = placed.get(uid).map_or(&[][..], |v| v);
+            if job.value.stage == Stage::Live || !on.is_empty() {
+                b.add_job(r, uid, on);
             }
         }
-        for (uid, chunks) in &r.done {
-            if r.jobs.get(uid).is_some_and(|j| j.value.stage != Stage::Live) {
-                b.garbage.extend(chunks.iter().map(|(n, d)| (done_key(uid, *n), d.stamp)));
+        for (n, rec) in &r.done {
+            let mut group = DoneGroup { stamp: rec.stamp, ..DoneGroup::default() };
+            for (uid, chunk) in rec.value.bits.keys().filter_map(|k| parse_chunk(k)) {
+                let Some(job) = b.jobs.get_mut(uid).filter(|j| j.stage == Stage::Live) else {
+                    continue;
+                };
+                let bytes = job.chunk_bytes(chunk);
+                job.chunk_groups.insert(chunk, *n);
+                group.bytes += bytes;
+                group.chunks.insert((job.uid.clone(), chunk), bytes);
             }
+            b.done_groups.insert(*n, group);
         }
         b
     }
 
-    /// Takes a job of the replica into the books.
-    pub fn add_job(&mut self, r: &Replica, uid: &Name) {
+    /// A machine by name, made if it is new.
+    pub fn machine_entry(&mut self, name: &Name, now: u64) -> &mut Machine {
+        if !self.machines.contains_key(name) {
+            let mut m = Machine::new(name.clone(), now);
+            m.kits = self.kits_told.remove(name).unwrap_or_default();
+            self.machines.insert(name.clone(), m);
+        }
+        self.machines.get_mut(name).expect("just made")
+    }
+
+    /// Takes a job of the replica into the books; `on` are its tasks on machines.
+    pub fn add_job(&mut self, r: &Replica, uid: &Name, on: &[(u32, Name)]) {
         let Some(rec) = r.jobs.get(uid) else { return };
         let spec = rec.value.spec.clone();
         let done = r.done_bitmap(uid);
@@ -330,19 +384,13 @@
             need: spec.as_ref().map(|s| s.need()).unwrap_or_default(),
             spec,
             stage: rec.value.stage,
-            stamp: rec.stamp,
+            arrival: rec.stamp,
             at_wall: rec.value.at,
             loads: rec.value.loads,
             done_count: done.count(),
             done,
             dirty_chunks: BTreeSet::new(),
-            chunk_stamps: r
-                .done
-                .get(uid)
-                .into_iter()
-                .flatten()
-                .map(|(n, d)| (*n, d.stamp))
-                .collect(),
+            chunk_groups: HashMap::new(),
             next_fresh: 0,
             returned: BTreeSet::new(),
             placed: BTreeMap::new(),
@@ -353,13 +401,12 @@
             successes: 0,
             begun: false,
         };
-        for m in self.machines.values_mut() {
-            for ((j, task), p) in &mut m.placements {
-                if j == uid {
-                    job.placed.insert(*task, m.name.clone());
-                    if job.stage != Stage::Live || job.done.get(*task) {
-                        p.halt = Some(Halt::Unwanted);
-                    }
+        for (task, machine) in on {
+            job.placed.insert(*task, machine.clone());
+            let held = self.machines.get_mut(machine).map(|m| &mut m.placements);
+            if let Some(p) = held.and_then(|p| p.get_mut(&(uid.clone(), *task))) {
+                if job.stage != Stage::Live || job.done.get(*task) {
+                    p.halt = Some(Halt::Unwanted);
                 }
             }
         }
@@ -375,7 +422,10 @@
             *self.usage.entry(spec.crew.clone()).or_default() += used;
         }
         if job.stage == Stage::Live {
-            self.queue.insert(job.stamp, uid.clone());
+            self.queue.insert(job.arrival, uid.clone());
+        }
+        if job.complete() {
+            self.complete.insert(uid.clone());
         }
         self.jobs.insert(uid.clone(), job);
     }
@@ -385,31 +435,33 @@
         let Some(rec) = r.jobs.get(uid) else { return };
         if !self.jobs.contains_key(uid) {
             if rec.value.stage == Stage::Live {
-                self.add_job(r, uid);
+                self.add_job(r, uid, &[]);
             }
             return;
         }
         if rec.value.stage != Stage::Live {
-            self.end_job(uid, rec.value.stage, rec.stamp);
+            self.end_job(uid, rec.value.stage);
         }
     }
 
     /// A job is over: what waits is dropped, what runs is halted.
-    pub fn end_job(&mut self, uid: &Name, stage: Stage, stamp: u64) {
+    pub fn end_job(&mut self, uid: &Name, stage: Stage) {
         let Some(job) = self.jobs.get_mut(uid) else {
             return;
         };
         if job.stage != Stage::Live {
             return;
         }
-        self.queue.remove(&job.stamp);
+        self.queue.remove(&job.arrival);
+        self.complete.remove(uid);
         job.stage = stage;
-        job.stamp = stamp;
         job.returned.clear();
         job.next_fresh = job.loads;
         job.dirty_chunks.clear();
-        for (n, s) in job.chunk_stamps.drain() {
-            self.garbage.push((done_key(uid, n), s));
+        for (chunk, n) in job.chunk_groups.drain() {
+            if let Some(g) = self.done_groups.get_mut(&n) {
+                g.bytes -= g.chunks.remove(&(uid.clone(), chunk)).unwrap_or(0);
+            }
         }
         let placed: Vec<(u32, Name)> = job.placed.iter().map(|(t, m)| (*t, m.clone())).collect();
         for (task, machine) in placed {
@@ -448,7 +500,42 @@
         let p = Placement::new(attempt, Phase::Proposed, now);
         m.placements.insert((uid.clone(), task), p);
         m.idle_since = None;
-        m.touch(true);
+        m.proposed += 1;
+        self.proposals.push_back((machine.clone(), (uid.clone(), task)));
+    }
+
+    /// Takes back a proposal that never reached the store.
+    pub fn retract(&mut self, machine: &Name, id: &TaskId) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        m.proposed = m.proposed.saturating_sub(1);
+        let open = |p: &Placement| p.phase == Phase::Proposed && p.ended.is_none();
+        if !m.placements.get(id).is_some_and(open) {
+            return;
+        }
+        m.placements.remove(id);
+        let Some(job) = self.jobs.get_mut(&id.0) else { return };
+        job.placed.remove(&id.1);
+        if let Some(u) = job.spec.as_ref().and_then(|s| self.usage.get_mut(&s.crew)) {
+            *u -= job.need;
+        }
+        if job.stage == Stage::Live && !job.done.get(id.1) {
+            job.returned.insert(id.1);
+        }
+        self.drop_if_over(&id.0);
+    }
+
+    /// A placement is in the store.
+    pub fn committed(&mut self, machine: &Name, id: &TaskId, attempt: u64, group: u32) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        m.proposed = m.proposed.saturating_sub(1);
+        let Some(p) = m.placements.get_mut(id).filter(|p| p.attempt == attempt) else { return };
+        p.phase = Phase::Committed;
+        p.group = Some(group);
+        // Settled while the commit was under way.
+        if let (Some(cause), Some(g)) = (p.ended, self.groups.get_mut(&group)) {
+            g.leaving.insert((id.clone(), attempt));
+            g.urgent |= cause != Cause::Done;
+        }
     }
 
     /// Evidence has settled a placement: it no longer counts for place and quota, and its
@@ -464,16 +551,24 @@
             return;
         }
         p.ended = Some(cause);
-        let Some(job) = self.jobs.get_mut(&id.0) else {
-            m.touch(true);
-            return;
-        };
-        job.placed.remove(&id.1);
-        job.settling.insert(id.1);
-        if let Some(spec) = &job.spec {
-            if let Some(u) = self.usage.get_mut(&spec.crew) {
-                *u -= job.need;
+        let attempt = p.attempt;
+        let job = self.jobs.get_mut(&id.0);
+        match p.group.and_then(|g| self.groups.get_mut(&g)) {
+            Some(g) => {
+                g.leaving.insert((id.clone(), attempt));
+                // Its task may start again only once this is in the store.
+                let again = job.as_ref().is_some_and(|j| j.stage == Stage::Live);
+                g.urgent |= again && cause != Cause::Done;
             }
+            None => self.loose.push((machine.clone(), id.clone())),
+        }
+        let Some(job) = job else { return };
+        if job.placed.get(&id.1) == Some(machine) {
+            job.placed.remove(&id.1);
+        }
+        job.settling.insert(id.1);
+        if let Some(u) = job.spec.as_ref().and_then(|s| self.usage.get_mut(&s.crew)) {
+            *u -= job.need;
         }
         if cause == Cause::Done && job.stage == Stage::Live {
             if job.done.set(id.1) {
@@ -484,9 +579,10 @@
             job.failed_on.clear();
             job.fail_pause_ms = 0;
             m.successes += 1;
+            if job.complete() {
+                self.complete.insert(job.uid.clone());
+            }
         }
-        let urgent = cause != Cause::Done || job.complete() || job.waiting() > 0;
-        m.touch(urgent);
     }
 
     /// A settlement is committed: the placement is taken out and the task, unless it is
--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -41,6 +41,17 @@
         false
     }
 
+    /// How many may be taken now.
+    pub fn left(&mut self, now: u64) -> f64 {
+        self.refill(now);
+        self.tokens
+    }
+
+    /// How many there are at the most.
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// The service said that it was asked too often: our count is behind.
     pub fn drain(&mut self, now: u64) {
         self.refill(now);
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -1,8 +1,9 @@
 //! The stored forms: keys and values of the state service.
 
 use crate::constants as c;
-use crate::protocol::users::Spec;
+use crate::protocol::users::{Spec, UID_PREFIX};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// A machine, a job: shared names.
@@ -28,19 +29,29 @@
     format!("{}shares", c::KEY_ROOT)
 }
 
-/// The key of a job.
-pub fn job_key(uid: &str) -> String {
-    format!("{}job/{uid}", c::KEY_ROOT)
+/// The key of a batch of jobs that were accepted together. Written once, never changed.
+pub fn batch_key(id: &str) -> String {
+    format!("{}jobs/{id}", c::KEY_ROOT)
 }
 
-/// The key of one bitmap of done tasks.
-pub fn done_key(uid: &str, chunk: u32) -> String {
-    format!("{}done/{uid}/{chunk}", c::KEY_ROOT)
+/// The key of how a job ended. It exists once the job is done or withdrawn, and only then.
+pub fn end_key(uid: &str) -> String {
+    format!("{}end/{uid}", c::KEY_ROOT)
 }
 
-/// The key of a machine's placements.
-pub fn place_key(machine: &str) -> String {
-    format!("{}place/{machine}", c::KEY_ROOT)
+/// The key of a group of bitmaps of done tasks.
+pub fn done_key(group: u32) -> String {
+    format!("{}done/{group:04}", c::KEY_ROOT)
+}
+
+/// The key of a group of placements.
+pub fn place_key(group: u32) -> String {
+    format!("{}place/{group:04}", c::KEY_ROOT)
+}
+
+/// The key of a part of the list of images that machines hold.
+pub fn kits_key(part: u32) -> String {
+    format!("{}kits/{part:04}", c::KEY_ROOT)
 }
 
 /// A key, taken apart.
@@ -50,9 +61,11 @@
     Term,
     Catalog,
     Shares,
-    Job(&'a str),
-    Done(&'a str, u32),
-    Place(&'a str),
+    Batch(&'a str),
+    End(&'a str),
+    Done(u32),
+    Place(u32),
+    Kits(u32),
 }
 
 /// Takes a key apart; `None` for keys of others.
@@ -66,18 +79,23 @@
         _ => {
             let (kind, name) = rest.split_once('/')?;
             match kind {
-                "job" => Key::Job(name),
-                "place" => Key::Place(name),
-                "done" => {
-                    let (uid, chunk) = name.rsplit_once('/')?;
-                    Key::Done(uid, chunk.parse().ok()?)
-                }
+                "jobs" => Key::Batch(name),
+                "end" => Key::End(name),
+                "done" => Key::Done(name.parse().ok()?),
+                "place" => Key::Place(name.parse().ok()?),
+                "kits" => Key::Kits(name.parse().ok()?),
                 _ => return None,
             }
         }
     })
 }
 
+/// Whether a key belongs to a layout of the store that this program can't read: every layout
+/// has a root of its own below the family's.
+pub fn foreign_layout(key: &str) -> bool {
+    key.starts_with(c::KEY_FAMILY) && !key.starts_with(c::KEY_ROOT)
+}
+
 /// Who leads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRec {
@@ -101,31 +119,121 @@
     Withdrawn,
 }
 
-/// A job. Its key is written when it is accepted and when it ends, so that the stamp of a
-/// live job is its arrival number.
+/// Jobs accepted by one controller with one write: a write a job would allow no more
+/// submissions a second than the state service takes writes.
+///
+/// The same job may stand in two batches, when its user asked two controllers. The one written
+/// first counts, and no batch is accepted with a job that has ended.
 #[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct BatchRec {
+    /// Time of day of the acceptance, in milliseconds.
+    pub at: u64,
+    pub jobs: Vec<Rc<Spec>>,
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndRec {
+    pub at: u64,
+    pub stage: Stage,
+    pub loads: u32,
+    /// Tasks that were done.
+    pub done: u32,
+}
+
+/// A job, put together from its batch and its end.
+#[derive(Debug, Clone)]
 pub struct JobRec {
     /// Time of day of the acceptance, in milliseconds.
     pub at: u64,
     pub stage: Stage,
     pub loads: u32,
-    /// Dropped when the job is done: nothing asks for it any more.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    /// Known as long as its batch is kept.
     pub spec: Option<Rc<Spec>>,
+    /// Tasks that were done when it ended.
+    pub done: u32,
+    /// Revision at which it ended; 0 while it is live.
+    pub end_stamp: u64,
 }
 
-/// A bitmap of done tasks as text.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// Bitmaps of done tasks as text, by job and chunk ([`chunk_name`]).
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DoneRec {
-    pub bits: String,
+    pub bits: BTreeMap<String, String>,
+}
+
+/// Name of a job's chunk in a [`DoneRec`].
+pub fn chunk_name(uid: &str, chunk: u32) -> String {
+    format!("{uid}/{chunk}")
+}
+
+/// Takes such a name apart.
+pub fn parse_chunk(name: &str) -> Option<(&str, u32)> {
+    let (uid, chunk) = name.rsplit_once('/')?;
+    Some((uid, chunk.parse().ok()?))
 }
 
-/// A machine's placements: job, task, attempt; and the images it holds, newest last.
+/// Placements of any jobs on any machines, one text after the other ([`Placed`]). One value
+/// holds hundreds, so that one write starts and settles many tasks.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct PlaceRec {
-    pub tasks: Vec<(String, u32, u64)>,
-    #[serde(default)]
+    pub tasks: String,
+}
+
+impl PlaceRec {
+    /// The placements; what can't be read is left out with a log line.
+    pub fn placed(&self) -> impl Iterator<Item = Placed<'_>> {
+        self.tasks.split_ascii_whitespace().filter_map(|t| {
+            let p = Placed::parse(t);
+            if p.is_none() {
+                log::error!("stored placement {t} can't be read");
+            }
+            p
+        })
+    }
+}
+
+/// A task on a machine, as stored: `000412/3@n-000231#28000001`, the attempt in hexadecimal.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Placed<'a> {
+    /// The job's id without its [`UID_PREFIX`].
+    pub digits: &'a str,
+    pub task: u32,
+    pub machine: &'a str,
+    pub attempt: u64,
+}
+
+impl<'a> Placed<'a> {
+    fn parse(text: &'a str) -> Option<Placed<'a>> {
+        let (digits, rest) = text.split_once('/')?;
+        let (task, rest) = rest.split_once('@')?;
+        let (machine, attempt) = rest.rsplit_once('#')?;
+        let attempt = u64::from_str_radix(attempt, 16).ok()?;
+        Some(Placed { digits, task: task.parse().ok()?, machine, attempt })
+    }
+
+    /// The text form; `None` for a machine whose name can't stand in one.
+    pub fn text(uid: &str, task: u32, machine: &str, attempt: u64) -> Option<String> {
+        let digits = uid.strip_prefix(UID_PREFIX)?;
+        if machine.bytes().any(|b| !b.is_ascii_graphic() || b == b'"' || b == b'\\') {
+            return None;
+        }
+        Some(format!("{digits}/{task}@{machine}#{attempt:x}"))
+    }
+
+    /// The job's id.
+    pub fn uid(&self) -> Name {
+        format!("{UID_PREFIX}{}", self.digits).into()
+    }
+}
+
+/// Images that machines hold, for a new leader: hints, written seldom.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct KitsRec {
+    /// Image and size.
     pub kits: Vec<(String, f64)>,
+    /// Per machine the images by index, newest last.
+    pub held: BTreeMap<String, Vec<usize>>,
 }
 
 /// The teams' shares of the machines, in thousandths of the fleet.
@@ -207,7 +315,7 @@
         }
         let mut b = Bitmap::default();
         for chunk in 0..=99_999 / c::DONE_CHUNK_TASKS {
-            assert!(a.chunk_text(chunk).len() <= 2_048);
+            assert!(a.chunk_text(chunk).len() <= 1_024);
             b.add_chunk(chunk, &a.chunk_text(chunk));
         }
         assert_eq!(b.count(), 6);
@@ -218,9 +326,22 @@
 
     #[test]
     fn keys_are_taken_apart_as_they_are_made() {
-        assert_eq!(parse_key(&job_key("job-1")), Some(Key::Job("job-1")));
-        assert_eq!(parse_key(&done_key("job-1", 3)), Some(Key::Done("job-1", 3)));
-        assert_eq!(parse_key(&place_key("n-1")), Some(Key::Place("n-1")));
-        assert_eq!(parse_key("mg/new/thing"), None);
+        assert_eq!(parse_key(&batch_key("1-2")), Some(Key::Batch("1-2")));
+        assert_eq!(parse_key(&end_key("job-1")), Some(Key::End("job-1")));
+        assert_eq!(parse_key(&done_key(3)), Some(Key::Done(3)));
+        assert_eq!(parse_key(&place_key(12)), Some(Key::Place(12)));
+        assert_eq!(parse_key("mg/2/new/thing"), None);
+        assert!(foreign_layout("mg/job/job-1") && !foreign_layout(&place_key(0)));
+    }
+
+    #[test]
+    fn placements_survive_their_text_form_and_nonsense_is_left_out() {
+        let text = Placed::text("job-000412", 99_999, "n-1#odd", 7 << 26).expect("can be written");
+        let rec = PlaceRec { tasks: format!("nonsense {text} 1/2@x") };
+        let all: Vec<Placed> = rec.placed().collect();
+        let one = Placed { digits: "000412", task: 99_999, machine: "n-1#odd", attempt: 7 << 26 };
+        assert_eq!(all, vec![one]);
+        assert_eq!(&*one.uid(), "job-000412");
+        assert_eq!(Placed::text("job-1", 0, "two words", 1), None);
     }
 }
--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -6,12 +6,12 @@
 //! remembered until the revision has passed.
 
 use super::records::*;
+use crate::constants as c;
 use crate::protocol::cloud::Catalog;
 use crate::protocol::state::{Changes, Event, Item};
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
-use std::collections::HashMap;
-use std::rc::Rc;
+use std::collections::{BTreeMap, HashMap};
 
 /// A stored value with the stamp of its key.
 #[derive(Debug, Clone, PartialEq)]
@@ -29,13 +29,19 @@
     pub term: Option<Stamped<TermRec>>,
     pub catalog: Option<Stamped<Catalog>>,
     pub shares: Option<Stamped<ShareRec>>,
+    /// Every job that was ever accepted. Its stamp is its arrival number.
     pub jobs: HashMap<Name, Stamped<JobRec>>,
-    pub done: HashMap<Name, HashMap<u32, Stamped<DoneRec>>>,
-    pub places: HashMap<Name, Stamped<PlaceRec>>,
+    /// Batches that are still kept, with their jobs.
+    pub batches: HashMap<Name, Stamped<Vec<Name>>>,
+    pub done: BTreeMap<u32, Stamped<DoneRec>>,
+    pub places: BTreeMap<u32, Stamped<PlaceRec>>,
+    pub kits: BTreeMap<u32, Stamped<KitsRec>>,
     /// Tasks placed per job, for users' polls.
     placed: HashMap<Name, u32>,
     /// Keys removed ahead of the watch.
     removed: HashMap<String, u64>,
+    /// A key of a layout that this program can't read was seen.
+    pub foreign: Option<String>,
 }
 
 fn value<T: DeserializeOwned>(key: &str, data: &RawValue) -> Option<T> {
@@ -50,8 +56,8 @@
 
 impl Replica {
     /// Puts in a page of the whole store.
-    pub fn apply_item(&mut self, item: &Item) -> Option<Name> {
-        self.write(&item.key, &item.data, item.stamp)
+    pub fn apply_item(&mut self, item: &Item) {
+        self.write(&item.key, &item.data, item.stamp);
     }
 
     /// Puts in an answer of a watch or a read; gives the jobs that changed.
@@ -67,17 +73,17 @@
         touched
     }
 
-    fn event(&mut self, ev: &Event) -> Option<Name> {
+    fn event(&mut self, ev: &Event) -> Vec<Name> {
         if let (Some(key), Some(data)) = (&ev.write, &ev.data) {
             if self.removed.get(key).is_some_and(|r| *r >= ev.stamp) {
-                return None;
+                return Vec::new();
             }
             return self.write(key, data, ev.stamp);
         }
         if let Some(key) = &ev.remove {
             self.remove(key, ev.stamp);
         }
-        None
+        Vec::new()
     }
 
     /// Stamp of a key; 0 if it doesn't exist.
@@ -90,9 +96,11 @@
             Some(Key::Term) => of(self.term.as_ref()),
             Some(Key::Catalog) => of(self.catalog.as_ref()),
             Some(Key::Shares) => of(self.shares.as_ref()),
-            Some(Key::Job(u)) => of(self.jobs.get(u)),
-            Some(Key::Done(u, n)) => of(self.done.get(u).and_then(|d| d.get(&n))),
-            Some(Key::Place(m)) => of(self.places.get(m)),
+            Some(Key::Batch(id)) => of(self.batches.get(id)),
+            Some(Key::End(u)) => self.jobs.get(u).map_or(0, |j| j.value.end_stamp),
+            Some(Key::Done(g)) => of(self.done.get(&g)),
+            Some(Key::Place(g)) => of(self.places.get(&g)),
+            Some(Key::Kits(n)) => of(self.kits.get(&n)),
             None => 0,
         }
     }
@@ -103,12 +111,11 @@
             held.is_some() && held == serde_json::from_str(data.get()).ok().as_ref()
         }
         match parse_key(key) {
-            Some(Key::Place(m)) => same(self.places.get(m).map(|s| &s.value), data),
-            Some(Key::Done(u, n)) => {
-                same(self.done.get(u).and_then(|d| d.get(&n)).map(|s| &s.value), data)
-            }
-            Some(Key::Job(u)) => {
-                let rec: Option<JobRec> = serde_json::from_str(data.get()).ok();
+            Some(Key::Place(g)) => same(self.places.get(&g).map(|s| &s.value), data),
+            Some(Key::Done(g)) => same(self.done.get(&g).map(|s| &s.value), data),
+            Some(Key::Kits(n)) => same(self.kits.get(&n).map(|s| &s.value), data),
+            Some(Key::End(u)) => {
+                let rec: Option<EndRec> = serde_json::from_str(data.get()).ok();
                 self.jobs.get(u).map(|s| s.value.stage) == rec.map(|r| r.stage)
             }
             Some(Key::Shares) => same(self.shares.as_ref().map(|s| &s.value), data),
@@ -117,38 +124,117 @@
         }
     }
 
-    /// Puts in one value; older ones than what is held are skipped. Gives the job that changed.
-    pub fn write(&mut self, key: &str, data: &RawValue, stamp: u64) -> Option<Name> {
+    /// Puts in one value; older ones than what is held are skipped. Gives the jobs that changed.
+    pub fn write(&mut self, key: &str, data: &RawValue, stamp: u64) -> Vec<Name> {
+        if foreign_layout(key) && self.foreign.is_none() {
+            self.foreign = Some(key.to_string());
+        }
         if self.stamp(key) >= stamp {
-            return None;
-        }
-        match parse_key(key)? {
-            Key::Leader => self.leader = value(key, data).map(|value| Stamped { stamp, value }),
-            Key::Term => self.term = value(key, data).map(|value| Stamped { stamp, value }),
-            Key::Catalog => self.catalog = value(key, data).map(|value| Stamped { stamp, value }),
-            Key::Shares => self.shares = value(key, data).map(|value| Stamped { stamp, value }),
-            Key::Job(uid) => {
-                let value = value(key, data)?;
-                let uid: Name = match self.jobs.get_key_value(uid) {
-                    Some((k, _)) => k.clone(),
-                    None => uid.into(),
-                };
-                self.jobs.insert(uid.clone(), Stamped { stamp, value });
-                return Some(uid);
-            }
-            Key::Done(uid, n) => {
-                let value = value(key, data)?;
-                self.done.entry(uid.into()).or_default().insert(n, Stamped { stamp, value });
-            }
-            Key::Place(m) => {
-                let value: PlaceRec = value(key, data)?;
-                self.count_placed(&value, 1);
-                if let Some(old) = self.places.insert(m.into(), Stamped { stamp, value }) {
+            return Vec::new();
+        }
+        fn stamped<T: DeserializeOwned>(
+            key: &str,
+            data: &RawValue,
+            stamp: u64,
+        ) -> Option<Stamped<T>> {
+            value(key, data).map(|value| Stamped { stamp, value })
+        }
+        match parse_key(key) {
+            None => {}
+            Some(Key::Leader) => self.leader = stamped(key, data, stamp),
+            Some(Key::Term) => self.term = stamped(key, data, stamp),
+            Some(Key::Catalog) => self.catalog = stamped(key, data, stamp),
+            Some(Key::Shares) => self.shares = stamped(key, data, stamp),
+            Some(Key::Batch(id)) => {
+                let rec: Option<BatchRec> = value(key, data);
+                return rec.map_or_else(Vec::new, |rec| self.batch(id, rec, stamp));
+            }
+            Some(Key::End(uid)) => {
+                let rec: Option<EndRec> = value(key, data);
+                return rec.map_or_else(Vec::new, |rec| vec![self.end(uid, rec, stamp)]);
+            }
+            Some(Key::Done(g)) => {
+                if let Some(rec) = stamped(key, data, stamp) {
+                    self.done.insert(g, rec);
+                }
+            }
+            Some(Key::Place(g)) => {
+                let Some(rec) = stamped::<PlaceRec>(key, data, stamp) else { return Vec::new() };
+                self.count_placed(&rec.value, 1);
+                if let Some(old) = self.places.insert(g, rec) {
                     self.count_placed(&old.value, -1);
                 }
             }
+            Some(Key::Kits(n)) => {
+                if let Some(rec) = stamped(key, data, stamp) {
+                    self.kits.insert(n, rec);
+                }
+            }
+        }
+        Vec::new()
+    }
+
+    /// A batch of accepted jobs. Of a job that stands in two batches the earlier one counts.
+    fn batch(&mut self, id: &str, rec: BatchRec, stamp: u64) -> Vec<Name> {
+        let mut names = Vec::new();
+        let mut touched = Vec::new();
+        for (i, spec) in rec.jobs.into_iter().enumerate() {
+            let uid: Name = match self.jobs.get_key_value(spec.uid.as_str()) {
+                Some((k, _)) => k.clone(),
+                None => spec.uid.as_str().into(),
+            };
+            names.push(uid.clone());
+            let arrival = (stamp << c::ARRIVAL_BITS) + i as u64;
+            let new = JobRec {
+                at: rec.at,
+                stage: Stage::Live,
+                loads: spec.loads,
+                spec: Some(spec),
+                done: 0,
+                end_stamp: 0,
+            };
+            match self.jobs.get_mut(&uid) {
+                None => {
+                    self.jobs.insert(uid.clone(), Stamped { stamp: arrival, value: new });
+                }
+                // Its end was read first.
+                Some(j) if j.value.spec.is_none() => {
+                    j.stamp = arrival;
+                    j.value.at = new.at;
+                    j.value.loads = new.loads;
+                    j.value.spec = new.spec;
+                }
+                Some(j) if j.stamp > arrival && j.value.stage == Stage::Live => {
+                    *j = Stamped { stamp: arrival, value: new };
+                }
+                Some(_) => continue,
+            }
+            touched.push(uid);
         }
-        None
+        self.batches.insert(id.into(), Stamped { stamp, value: names });
+        touched
+    }
+
+    fn end(&mut self, uid: &str, rec: EndRec, stamp: u64) -> Name {
+        let name: Name = match self.jobs.get_key_value(uid) {
+            Some((k, _)) => k.clone(),
+            None => uid.into(),
+        };
+        let j = self.jobs.entry(name.clone()).or_insert_with(|| Stamped {
+            stamp: 0,
+            value: JobRec {
+                at: rec.at,
+                stage: rec.stage,
+                loads: rec.loads,
+                spec: None,
+                done: rec.done,
+                end_stamp: stamp,
+            },
+        });
+        j.value.stage = rec.stage;
+        j.value.done = rec.done;
+        j.value.end_stamp = stamp;
+        name
     }
 
     /// Takes out a key that was removed at `stamp`.
@@ -164,35 +250,40 @@
             Some(Key::Term) => self.term = None,
             Some(Key::Catalog) => self.catalog = None,
             Some(Key::Shares) => self.shares = None,
-            Some(Key::Job(uid)) => {
-                self.jobs.remove(uid);
-            }
-            Some(Key::Done(uid, n)) => {
-                if let Some(d) = self.done.get_mut(uid) {
-                    d.remove(&n);
-                    if d.is_empty() {
-                        self.done.remove(uid);
+            Some(Key::Batch(id)) => {
+                // Removed when all its jobs are over: how they ended is kept, what they were
+                // is not needed any more.
+                for uid in self.batches.remove(id).into_iter().flat_map(|b| b.value) {
+                    if let Some(j) = self.jobs.get_mut(&uid) {
+                        if j.value.stage != Stage::Live {
+                            j.value.spec = None;
+                        }
                     }
                 }
             }
-            Some(Key::Place(m)) => {
-                if let Some(old) = self.places.remove(m) {
+            // Ends are kept for ever.
+            Some(Key::End(_)) | None => {}
+            Some(Key::Done(g)) => {
+                self.done.remove(&g);
+            }
+            Some(Key::Place(g)) => {
+                if let Some(old) = self.places.remove(&g) {
                     self.count_placed(&old.value, -1);
                 }
             }
-            None => {}
+            Some(Key::Kits(n)) => {
+                self.kits.remove(&n);
+            }
         }
     }
 
     fn count_placed(&mut self, rec: &PlaceRec, by: i64) {
-        for (job, _, _) in &rec.tasks {
-            let n = match self.placed.get_mut(job.as_str()) {
-                Some(n) => n,
-                None => self.placed.entry(Rc::from(job.as_str())).or_default(),
-            };
+        for p in rec.placed() {
+            let uid = p.uid();
+            let n = self.placed.entry(uid.clone()).or_default();
             *n = (i64::from(*n) + by).max(0) as u32;
             if *n == 0 {
-                self.placed.remove(job.as_str());
+                self.placed.remove(&uid);
             }
         }
     }
@@ -202,11 +293,15 @@
         self.placed.get(uid).copied().unwrap_or(0)
     }
 
-    /// Done tasks of a job.
+    /// Done tasks of a live job.
     pub fn done_bitmap(&self, uid: &str) -> Bitmap {
         let mut bits = Bitmap::default();
-        for (n, rec) in self.done.get(uid).into_iter().flatten() {
-            bits.add_chunk(*n, &rec.value.bits);
+        let loads = self.jobs.get(uid).map_or(0, |j| j.value.loads);
+        for chunk in 0..loads.div_ceil(c::DONE_CHUNK_TASKS) {
+            let name = chunk_name(uid, chunk);
+            for text in self.done.values().filter_map(|g| g.value.bits.get(&name)) {
+                bits.add_chunk(chunk, text);
+            }
         }
         bits
     }
@@ -226,29 +321,61 @@
         Event { write: Some(key), remove: None, data: Some(raw(rec)), stamp }
     }
 
+    fn one() -> PlaceRec {
+        PlaceRec { tasks: Placed::text("job-1", 0, "n-1", 7).expect("can be written") }
+    }
+
     #[test]
     fn an_older_answer_that_comes_late_changes_nothing() {
         let mut r = Replica::default();
-        let one = PlaceRec { tasks: vec![("job-1".into(), 0, 7)], kits: vec![] };
         let none = PlaceRec::default();
-        let new = Changes { ledger_rev: 9, events: vec![put(place_key("n-1"), &none, 8)] };
-        let old = Changes { ledger_rev: 5, events: vec![put(place_key("n-1"), &one, 4)] };
+        let new = Changes { ledger_rev: 9, events: vec![put(place_key(0), &none, 8)] };
+        let old = Changes { ledger_rev: 5, events: vec![put(place_key(0), &one(), 4)] };
         r.apply(&new);
         r.apply(&old);
-        assert_eq!(r.places["n-1"].value, none);
+        assert_eq!(r.places[&0].value, none);
         assert_eq!((r.rev, r.placed("job-1")), (9, 0));
     }
 
     #[test]
     fn a_key_removed_ahead_of_the_watch_does_not_come_back() {
         let mut r = Replica::default();
-        let one = PlaceRec { tasks: vec![("job-1".into(), 0, 7)], kits: vec![] };
-        r.write(&place_key("n-1"), &raw(&one), 4);
-        r.remove(&place_key("n-1"), 6);
-        r.apply(&Changes { ledger_rev: 5, events: vec![put(place_key("n-1"), &one, 4)] });
+        r.write(&place_key(0), &raw(&one()), 4);
+        r.remove(&place_key(0), 6);
+        r.apply(&Changes { ledger_rev: 5, events: vec![put(place_key(0), &one(), 4)] });
         assert!(r.places.is_empty(), "the write at 4 is older than the removal at 6");
         assert_eq!(r.placed("job-1"), 0);
-        r.apply(&Changes { ledger_rev: 8, events: vec![put(place_key("n-1"), &one, 8)] });
-        assert_eq!(r.places.len(), 1, "a later write counts");
+        r.apply(&Changes { ledger_rev: 8, events: vec![put(place_key(0), &one(), 8)] });
+        assert_eq!((r.places.len(), r.placed("job-1")), (1, 1), "a later write counts");
+    }
+
+    #[test]
+    fn of_a_job_in_two_batches_the_first_counts_in_whatever_order_they_are_read() {
+        let spec = |loads: u32| {
+            let v = serde_json::json!({"uid": "job-1", "duty": "d", "crew": "c", "shape": "batch",
+                "rank": "high", "loads": loads, "cores": 1.0, "gpus": 0.0, "ram_gb": 1.0,
+                "kit": "k", "size_gb": 1.0, "together": false, "apart": false,
+                "lendables": true, "run_guess_s": 1.0, "mark_every_s": 0.0, "mark_cost_s": 0.0});
+            BatchRec { at: 5, jobs: vec![serde_json::from_value(v).expect("a submission")] }
+        };
+        let end = EndRec { at: 5, stage: Stage::Done, loads: 3, done: 3 };
+        let all = [
+            (batch_key("a"), raw(&spec(3)), 4),
+            (batch_key("b"), raw(&spec(7)), 6),
+            (end_key("job-1"), raw(&end), 9),
+        ];
+        for order in [[0, 1, 2], [1, 0, 2], [2, 1, 0], [2, 0, 1]] {
+            let mut r = Replica::default();
+            for i in order {
+                r.write(&all[i].0, &all[i].1, all[i].2);
+            }
+            let j = &r.jobs["job-1"].value;
+            assert_eq!((j.stage, j.end_stamp, r.stamp(&end_key("job-1"))), (Stage::Done, 9, 9));
+            if order[2] == 2 {
+                assert_eq!(j.loads, 3, "read in order {order:?}");
+            }
+            r.remove(&batch_key("a"), 12);
+            assert!(r.jobs["job-1"].value.spec.is_none(), "how it ended is kept");
+        }
     }
 }
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -41,6 +41,9 @@
 /// Longest wait of the poll loop in milliseconds, so that timers stay live.
 pub const POLL_MAX_MS: u64 = 100;
 
+/// The same while reports, starts or submissions wait for something.
+pub const POLL_SOON_MS: u64 = 10;
+
 // --- the command queue ----------------------------------------------------------
 
 /// User requests taken from one batch; those beyond are answered 503 at once, so
@@ -55,8 +58,11 @@
 
 // --- state service --------------------------------------------------------------
 
-/// All keys of the service start with this.
-pub const KEY_ROOT: &str = "mg/";
+/// All keys of the service start with this, whatever their layout.
+pub const KEY_FAMILY: &str = "mg/";
+/// All keys of this layout of the store. Another layout has another root, and a program that
+/// finds keys of one that it can't read says so and serves nobody.
+pub const KEY_ROOT: &str = "mg/2/";
 /// Milliseconds to wait for an ordinary answer: answers take 10 ms, at times a few
 /// hundred, and a user's poll gives up after 2 s.
 pub const STATE_CALL_MS: u64 = 1_200;
@@ -76,23 +82,52 @@
 pub const FRESH_GAP_MS: u64 = 20;
 /// Milliseconds to wait before asking again after the state service refused.
 pub const STATE_RETRY_MS: u64 = 250;
+/// Milliseconds before a store of a layout that we can't read is looked at again.
+pub const STATE_FOREIGN_MS: u64 = 10_000;
 /// Share of the request rate that one controller uses, times the number of controllers.
 pub const STATE_RPS_SHARE: f64 = 0.85;
 /// Share of the write rate that the leader has beyond what every controller has for
-/// submissions: its own writes are few, and bursts of submissions come to all controllers.
-pub const WRITE_SHARE_LEADER: f64 = 0.25;
+/// submissions. Those are written in batches, so that little does for them; what is left
+/// bounds how fast tasks start.
+pub const WRITE_SHARE_LEADER: f64 = 0.6;
 /// Writes kept free in the leader's bucket for submissions and cancellations.
-pub const WRITE_RESERVE: f64 = 3.0;
+pub const WRITE_RESERVE: f64 = 2.0;
+/// Writes that a cancellation leaves in the bucket for submissions, and submissions for
+/// cancellations: none, both are users'.
+pub const WRITE_KEEP_USERS: f64 = 0.0;
+/// Milliseconds that a submission may wait for its batch to be written before it is passed
+/// to a peer or refused: within what users hold for quick.
+pub const BATCH_WAIT_MS: u64 = 500;
+/// Milliseconds for which submissions gather while writes are short.
+pub const BATCH_GATHER_MS: u64 = 60;
+/// Share of the bucket below which writes are short.
+pub const WRITES_SHORT_SHARE: f64 = 0.6;
+/// Batches of submissions on their way at a time; others gather meanwhile.
+pub const BATCHES_IN_FLIGHT: usize = 3;
+/// Bytes of a batch's value kept for its framing, per job and for all.
+pub const BATCH_FRAME_BYTES: usize = 64;
+/// Bits of an arrival number below the revision of the batch: jobs of one batch.
+pub const ARRIVAL_BITS: u32 = 8;
 /// Tasks in one stored bitmap of done tasks; its text form is a quarter of this in bytes
-/// and stays under the smallest value limit seen.
-pub const DONE_CHUNK_TASKS: u32 = 8_192;
-/// Bytes that one placement takes in a machine's key, rounded up; bounds how many
-/// tasks a machine may hold at a time so that its key fits the value limit.
-pub const PLACEMENT_BYTES: usize = 48;
-/// Bytes of a machine's key kept for its images and framing.
-pub const PLACEMENT_FRAME_BYTES: usize = 700;
-/// Images remembered for a machine in its key.
+/// and stays well under the smallest value limit seen.
+pub const DONE_CHUNK_TASKS: u32 = 4_096;
+/// Bytes of a group's value kept for its framing.
+pub const GROUP_FRAME_BYTES: usize = 64;
+/// Bytes of one commit kept for its framing and conditions, of the protocol's 64 KiB.
+pub const COMMIT_FRAME_BYTES: usize = 16 * 1024;
+/// Bytes of one commit (protocol).
+pub const COMMIT_BYTES: usize = 64 * 1024;
+/// Bytes that one task takes in a report, rounded up: bounds how many a machine gets, since
+/// reports end at 64 KiB.
+pub const REPORT_TASK_BYTES: usize = 128;
+/// Groups that are written only to take out what has ended, with each batch of bitmaps.
+pub const CLEAN_GROUPS: usize = 2;
+/// Images remembered for a machine.
 pub const IMAGES_KEPT: usize = 10;
+/// Milliseconds between two writes of the images that machines hold: hints for a new leader.
+pub const KITS_PERIOD_MS: u64 = 15_000;
+/// Milliseconds between two searches for keys that nobody needs any more.
+pub const GARBAGE_PERIOD_MS: u64 = 10_000;
 
 // --- leadership -----------------------------------------------------------------
 
@@ -158,6 +193,9 @@
 pub const PASS_PERIOD_MS: u64 = 2_000;
 /// Least milliseconds between two passes that events bring forward.
 pub const PASS_GAP_MS: u64 = 60;
+/// Milliseconds that each machine adds to the least gap between two passes: a pass looks at
+/// every machine, and the state service takes a few writes a second anyway.
+pub const PASS_GAP_MACHINE_MS: f64 = 0.4;
 /// Milliseconds between commits of done-task bitmaps alone (DESIGN: batched every 2 s).
 pub const DONE_BATCH_MS: u64 = 2_000;
 /// Penalty factors tried for a reservation (DESIGN, from the paper's evaluation).
@@ -261,6 +299,8 @@
 pub const MOVE_GAP_MS: u64 = 3_000;
 /// Milliseconds between two looks at the size of the fleet.
 pub const FLEET_PERIOD_MS: u64 = 300;
+/// Milliseconds that each machine adds to that: a look counts what every machine holds.
+pub const FLEET_MACHINE_MS: f64 = 1.0;
 /// Milliseconds a machine may be silent, once its tasks are settled, before it is deleted.
 pub const SILENT_DELETE_MS: u64 = 45_000;
 /// Seconds in which the queue of batch work should be worked off, at the least.
--- /dev/null
+++ b/src/coordination/commits.rs
@@ -0,0 +1,574 @@
+//! The leader's commits: starts, settlements, done tasks and ends of jobs, packed together.
+//!
+//! Placements live in groups, one key each, that hold hundreds of them for any machines and
+//! jobs. What starts goes where most has ended, so that one write both settles and starts;
+//! the state service takes a few writes a second, and tasks start and end far faster.
+//! One commit is under way at a time. Each depends on the stamp of the leader key, of every
+//! key that it writes, and on every job that it starts not having ended.
+
+use super::leader::InFlight;
+use super::*;
+use crate::bookkeeping::books::*;
+use crate::bookkeeping::records::*;
+use crate::protocol::state::{raw, Committed, Conflict, If, Write};
+use crate::protocol::workers::Cause;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A placement that a commit stores or takes out: group, machine, task, attempt.
+#[derive(Debug, Clone)]
+pub(super) struct Entry {
+    group: u32,
+    machine: Name,
+    id: TaskId,
+    attempt: u64,
+    bytes: usize,
+}
+
+/// A commit being packed.
+struct Packer {
+    ifs: BTreeMap<String, u64>,
+    writes: Vec<Write>,
+    bytes: usize,
+    max_ops: usize,
+    max_ifs: usize,
+    /// Bytes of one value.
+    cap: usize,
+}
+
+impl Packer {
+    fn room(&self, ops: usize, ifs: usize) -> bool {
+        self.writes.len() + ops <= self.max_ops && self.ifs.len() + ifs <= self.max_ifs
+    }
+
+    /// Adds a write that depends on the key's stamp; false if it does not fit.
+    fn put(&mut self, key: String, data: Box<serde_json::value::RawValue>, stamp: u64) -> bool {
+        let bytes = data.get().len();
+        let fits = bytes <= self.cap
+            && self.bytes + bytes <= c::COMMIT_BYTES - c::COMMIT_FRAME_BYTES
+            && self.room(1, 1);
+        if fits {
+            self.bytes += bytes;
+            self.ifs.insert(key.clone(), stamp);
+            self.writes.push(Write::Put { write: key, data, tenancy: None });
+        }
+        fits
+    }
+}
+
+impl Controller {
+    pub(super) fn commit_due(&mut self) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else { return };
+        if let Some(f) = &l.flight {
+            if !f.sent && f.reading.is_none() && now >= f.not_before {
+                self.send_flight();
+            }
+            return;
+        }
+        // What was never stored needs no commit to be over.
+        for (machine, id) in std::mem::take(&mut l.books.loose) {
+            l.books.settled(&machine, &id);
+            l.plan_soon(now);
+        }
+        let batch = now >= l.done_at;
+        let urgent = !l.books.proposals.is_empty()
+            || !l.books.complete.is_empty()
+            || l.books.groups.values().any(|g| g.urgent);
+        if (urgent || batch) && self.served() {
+            let left = (self.writes.left(now) - c::WRITE_RESERVE).max(0.0) as usize;
+            if left > 0 {
+                self.build_flight(batch, left.min(self.cfg.params.state.txn_ops));
+                self.send_flight();
+            }
+        }
+    }
+
+    /// Packs what is to be written into one commit, the most urgent first.
+    fn build_flight(&mut self, batch: bool, max_ops: usize) {
+        let now = self.now.mono;
+        let cap = (self.cfg.params.state.value_kb * 1024.0) as usize;
+        let Some(l) = self.leader.as_mut() else { return };
+        let mut p = Packer {
+            ifs: BTreeMap::from([(leader_key(), l.stamp)]),
+            writes: Vec::new(),
+            bytes: 0,
+            max_ops,
+            max_ifs: self.cfg.params.state.txn_ops * 4,
+            cap,
+        };
+        let mut f = InFlight::default();
+        let starting = !l.books.proposals.is_empty();
+        // Ends of jobs: users wait for them, but starts go along.
+        let ends = if starting { max_ops.div_ceil(2) } else { max_ops };
+        for uid in &l.books.complete {
+            let Some(job) = l.books.jobs.get(uid) else { continue };
+            let rec = EndRec {
+                at: job.at_wall,
+                stage: Stage::Done,
+                loads: job.loads,
+                done: job.done_count,
+            };
+            if p.writes.len() >= ends || !p.put(end_key(uid), raw(&rec), 0) {
+                break;
+            }
+            f.finishes.push(uid.clone());
+        }
+        if batch {
+            l.done_at = now + c::DONE_BATCH_MS;
+            l.books.pack_done(&mut p, &mut f, usize::from(starting));
+        }
+        l.books.pack_places(&mut p, &mut f, batch);
+        if batch {
+            // Hints and tidying up only with writes to spare.
+            let plenty = self.writes.left(now) >= self.writes.burst() * c::WRITES_SHORT_SHARE;
+            if plenty {
+                self.pack_rest(&mut p, &mut f);
+            }
+        }
+        if p.writes.is_empty() {
+            return;
+        }
+        let conditions = p.ifs.into_iter().map(|(key, stamp)| If { key, stamp }).collect();
+        f.commit = Commit { conditions, writes: p.writes };
+        f.body = serde_json::to_vec(&f.commit).unwrap_or_default();
+        if let Some(l) = self.leader.as_mut() {
+            l.flight = Some(f);
+        }
+    }
+
+    /// Catalogue, shares, images on machines, and keys that nobody needs any more.
+    fn pack_rest(&mut self, p: &mut Packer, f: &mut InFlight) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else { return };
+        if let Some(catalog) = self.catalog.as_ref().filter(|_| !l.catalog_written) {
+            let known = self.replica.catalog.as_ref();
+            let alike = known.is_some_and(|k| {
+                k.value.builds.iter().map(|b| &b.sku).eq(catalog.builds.iter().map(|b| &b.sku))
+            });
+            let stamp = known.map_or(0, |k| k.stamp);
+            l.catalog_written = alike || p.put(catalog_key(), raw(&**catalog), stamp);
+        }
+        if !l.shares_written {
+            let names = self.cfg.params.teams.iter().map(|t| t.name.clone());
+            let rec = ShareRec { term: l.term, teams: names.zip(l.shares.clone()).collect() };
+            let stamp = self.replica.shares.as_ref().map_or(0, |s| s.stamp);
+            l.shares_written = p.put(shares_key(), raw(&rec), stamp);
+        }
+        if now >= l.kits_at {
+            let mut all = true;
+            for (n, rec) in l.books.kits_parts(p.cap).into_iter().enumerate() {
+                let known = self.replica.kits.get(&(n as u32));
+                if known.is_none_or(|k| k.value != rec) {
+                    let stamp = known.map_or(0, |k| k.stamp);
+                    all &= p.put(kits_key(n as u32), raw(&rec), stamp);
+                }
+            }
+            if all {
+                l.kits_at = now + c::KITS_PERIOD_MS;
+            }
+        }
+        if now >= l.garbage_at && l.books.garbage.is_empty() {
+            l.garbage_at = now + c::GARBAGE_PERIOD_MS;
+            // Batches whose jobs are all over, with nothing left on machines.
+            let over = |uid: &Name| {
+                self.replica.jobs.get(uid).is_some_and(|j| j.value.stage != Stage::Live)
+                    && !l.books.jobs.contains_key(uid)
+            };
+            for (id, batch) in &self.replica.batches {
+                if batch.value.iter().all(over) {
+                    l.books.garbage.push((batch_key(id), batch.stamp));
+                }
+            }
+        }
+        while p.room(1, 1) {
+            let Some((key, stamp)) = l.books.garbage.pop() else { break };
+            p.ifs.insert(key.clone(), stamp);
+            p.writes.push(Write::Remove { remove: key.clone() });
+            f.garbage.push((key, stamp));
+        }
+    }
+
+    fn send_flight(&mut self) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else { return };
+        let Some(f) = l.flight.as_mut() else { return };
+        let n = f.commit.writes.len() as f64;
+        if !self.writes.take(n, 0.0, now) {
+            return;
+        }
+        f.sent = true;
+        let body = f.body.clone();
+        self.metrics.state_writes += n as u64;
+        let purpose = Purpose::LeaderCommit { term: l.term };
+        self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
+    }
+
+    pub(super) fn leader_committed(&mut self, term: u64, reply: Option<(u16, Vec<u8>)>) {
+        let now = self.now.mono;
+        // An answer to a commit of an earlier term of ours says nothing about this one's.
+        let Some(l) = self.leader.as_mut().filter(|l| l.term == term) else { return };
+        let Some(f) = l.flight.as_mut() else { return };
+        f.sent = false;
+        match reply {
+            Some((200, body)) => match serde_json::from_slice::<Committed>(&body) {
+                Ok(done) => self.flight_applied(done.ledger_rev),
+                Err(_) => f.unclear = true,
+            },
+            Some((409, body)) => {
+                let failed =
+                    serde_json::from_slice::<Conflict>(&body).map(|c| c.failed).unwrap_or_default();
+                log::debug!("commit refused: {failed:?}");
+                if !f.unclear && failed.contains(&leader_key()) {
+                    return self.step_down("the leader key has changed");
+                }
+                f.reading = Some(now);
+                self.leader_wants_fresh();
+            }
+            // Not executed: if no earlier copy can have been, it is built anew.
+            Some((429 | 503, _)) => {
+                f.not_before = now + c::STATE_RETRY_MS;
+                if !f.unclear {
+                    self.flight_dropped();
+                }
+            }
+            Some((status, body)) => {
+                log::error!("commit answered {status}: {}", String::from_utf8_lossy(&body));
+                f.not_before = now + c::STATE_RETRY_MS;
+                if !f.unclear {
+                    self.flight_dropped();
+                }
+            }
+            None => f.unclear = true,
+        }
+    }
+
+    /// A refused commit, after a fresh read: applied by an earlier copy, or not at all.
+    pub(super) fn resolve_flight(&mut self, begun: u64) {
+        let Some(l) = self.leader.as_mut() else { return };
+        let Some(f) = l.flight.as_mut() else { return };
+        let Some(since) = f.reading else { return };
+        if begun < since {
+            // A read from before the refusal can't tell.
+            return self.leader_wants_fresh();
+        }
+        f.reading = None;
+        if !f.unclear {
+            return self.flight_dropped();
+        }
+        // All or nothing: one written key tells.
+        let applied = f.commit.writes.iter().find_map(|w| {
+            let Write::Put { write, data, .. } = w else {
+                return None;
+            };
+            let before = f.commit.conditions.iter().find(|i| i.key == *write)?.stamp;
+            let stamp = self.replica.stamp(write);
+            if stamp <= before {
+                return None;
+            }
+            self.replica.holds(write, data).then_some(stamp)
+        });
+        match applied {
+            Some(rev) => self.flight_applied(rev),
+            None => self.flight_dropped(),
+        }
+    }
+
+    /// The commit was not applied and never will be: all of it is to be written again.
+    fn flight_dropped(&mut self) {
+        let Some(l) = self.leader.as_mut() else { return };
+        let Some(f) = l.flight.take() else { return };
+        for (uid, chunk) in f.chunks {
+            if let Some(j) = l.books.jobs.get_mut(&uid).filter(|j| j.stage == Stage::Live) {
+                j.dirty_chunks.insert(chunk);
+                if let Some(g) = j.chunk_groups.get(&chunk) {
+                    l.books.done_groups.entry(*g).or_default().dirty = true;
+                }
+            }
+        }
+        for e in &f.adds {
+            let held = l.books.machines.get(&e.machine).and_then(|m| m.placements.get(&e.id));
+            let kept = held.is_some_and(|p| p.attempt == e.attempt && p.phase == Phase::Committed);
+            match kept {
+                // On the machine whatever the store says: it must be recorded.
+                true => l.books.proposals.push_back((e.machine.clone(), e.id.clone())),
+                false => l.books.retract(&e.machine, &e.id),
+            }
+        }
+        // Stamps of keys that changed under us are taken from the replica. Only our own
+        // earlier commits and users' requests write, so nothing is lost by that.
+        for n in f.groups {
+            if let Some(g) = l.books.groups.get_mut(&n) {
+                g.stamp = self.replica.stamp(&place_key(n));
+                g.urgent |= !g.leaving.is_empty();
+            }
+        }
+        for n in f.done_groups {
+            if let Some(g) = l.books.done_groups.get_mut(&n) {
+                g.stamp = self.replica.stamp(&done_key(n));
+            }
+        }
+        for (key, before) in f.garbage {
+            // Only what is still as it was: it may have come into use again.
+            if self.replica.stamp(&key) == before && before != 0 {
+                l.books.garbage.push((key, before));
+            }
+        }
+        l.plan_soon(self.now.mono);
+        self.check_term();
+    }
+
+    fn flight_applied(&mut self, rev: u64) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut() else { return };
+        let Some(f) = l.flight.take() else { return };
+        for n in &f.groups {
+            l.books.groups.entry(*n).or_default().stamp = rev;
+        }
+        for n in &f.done_groups {
+            l.books.done_groups.entry(*n).or_default().stamp = rev;
+        }
+        for uid in &f.finishes {
+            log::debug!("{uid}: done");
+            l.books.end_job(uid, Stage::Done);
+        }
+        for e in &f.leaves {
+            if let Some(g) = l.books.groups.get_mut(&e.group) {
+                let key = (e.id.clone(), e.attempt);
+                g.leaving.remove(&key);
+                if let Some((_, bytes)) = g.tasks.remove(&key) {
+                    g.bytes -= bytes;
+                }
+            }
+            l.books.settled(&e.machine, &e.id);
+        }
+        for e in &f.adds {
+            let g = l.books.groups.entry(e.group).or_default();
+            g.bytes += e.bytes;
+            g.tasks.insert((e.id.clone(), e.attempt), (e.machine.clone(), e.bytes));
+            l.books.committed(&e.machine, &e.id, e.attempt, e.group);
+        }
+        if !f.leaves.is_empty() {
+            l.plan_soon(now);
+        }
+        let commit = f.commit;
+        self.own_commit(&commit, rev);
+    }
+}
+
+impl Books {
+    /// Bitmaps that changed, as far as they fit beside `keep` other writes.
+    fn pack_done(&mut self, p: &mut Packer, f: &mut InFlight, keep: usize) {
+        let cap = p.cap - c::GROUP_FRAME_BYTES;
+        let dirty: Vec<(Name, u32)> = self
+            .queue
+            .values()
+            .filter_map(|uid| self.jobs.get(uid))
+            .filter(|j| !f.finishes.contains(&j.uid))
+            .flat_map(|j| j.dirty_chunks.iter().map(|n| (j.uid.clone(), *n)))
+            .collect();
+        for (uid, chunk) in dirty {
+            let Some(job) = self.jobs.get_mut(&uid) else { continue };
+            let bytes = job.chunk_bytes(chunk);
+            let n = *job.chunk_groups.entry(chunk).or_insert_with(|| {
+                let open = self.done_groups.iter().find(|(_, g)| g.bytes + bytes <= cap);
+                let fresh = || (0..).find(|n| !self.done_groups.contains_key(n)).unwrap_or(0);
+                let n = open.map_or_else(fresh, |(n, _)| *n);
+                let g = self.done_groups.entry(n).or_default();
+                g.bytes += bytes;
+                g.chunks.insert((uid.clone(), chunk), bytes);
+                n
+            });
+            self.done_groups.entry(n).or_default().dirty = true;
+        }
+        let dirty: Vec<u32> =
+            self.done_groups.iter().filter(|(_, g)| g.dirty).map(|(n, _)| *n).collect();
+        for n in dirty {
+            if !p.room(1 + keep, 1) {
+                return;
+            }
+            let Some(g) = self.done_groups.get_mut(&n) else { continue };
+            let mut rec = DoneRec::default();
+            for (uid, chunk) in g.chunks.keys() {
+                if let Some(job) = self.jobs.get(uid) {
+                    rec.bits.insert(chunk_name(uid, *chunk), job.done.chunk_text(*chunk));
+                }
+            }
+            if !p.put(done_key(n), raw(&rec), g.stamp) {
+                return;
+            }
+            g.dirty = false;
+            f.done_groups.push(n);
+            for (uid, chunk) in g.chunks.keys() {
+                if let Some(job) = self.jobs.get_mut(uid) {
+                    if job.dirty_chunks.remove(chunk) {
+                        f.chunks.push((uid.clone(), *chunk));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether a settled placement may be taken out of the store: what it did must be there.
+    fn may_leave(&self, machine: &Name, id: &TaskId, f: &InFlight) -> bool {
+        let cause = self.machines.get(machine).and_then(|m| m.placements.get(id)?.ended);
+        if cause != Some(Cause::Done) || f.finishes.contains(&id.0) {
+            return true;
+        }
+        let chunk = id.1 / c::DONE_CHUNK_TASKS;
+        self.jobs
+            .get(&id.0)
+            .is_none_or(|j| j.stage != Stage::Live || !j.dirty_chunks.contains(&chunk))
+    }
+
+    /// Starts and settlements. What starts goes to the groups where most room is or has
+    /// fallen free, those first whose settlements are urgent.
+    fn pack_places(&mut self, p: &mut Packer, f: &mut InFlight, batch: bool) {
+        let cap = p.cap - c::GROUP_FRAME_BYTES;
+        let mut leaving: BTreeMap<u32, Vec<Entry>> = BTreeMap::new();
+        let mut fill: BTreeMap<u32, usize> = BTreeMap::new();
+        for (n, g) in &self.groups {
+            let mut bytes = g.bytes;
+            for key in &g.leaving {
+                let Some((machine, len)) = g.tasks.get(key) else { continue };
+                if self.may_leave(machine, &key.0, f) {
+                    bytes -= len;
+                    leaving.entry(*n).or_default().push(Entry {
+                        group: *n,
+                        machine: machine.clone(),
+                        id: key.0.clone(),
+                        attempt: key.1,
+                        bytes: *len,
+                    });
+                }
+            }
+            fill.insert(*n, bytes);
+        }
+        let mut chosen: BTreeSet<u32> = BTreeSet::new();
+        let most = p
+            .max_ops
+            .saturating_sub(p.writes.len())
+            .min((c::COMMIT_BYTES - c::COMMIT_FRAME_BYTES).saturating_sub(p.bytes) / p.cap.max(1));
+        let ifs_left = p.max_ifs.saturating_sub(p.ifs.len() + most);
+        for (n, g) in &self.groups {
+            if g.urgent && chosen.len() < most {
+                chosen.insert(*n);
+            }
+        }
+        let mut adds: Vec<Entry> = Vec::new();
+        let mut jobs: BTreeSet<Name> = BTreeSet::new();
+        let mut wait: VecDeque<(Name, TaskId)> = VecDeque::new();
+        while let Some((machine, id)) = self.proposals.pop_front() {
+            let Some(m) = self.machines.get(&machine) else { continue };
+            let Some(held) = m.placements.get(&id).filter(|x| x.ended.is_none()) else { continue };
+            let live = self.jobs.get(&id.0).is_some_and(|j| j.stage == Stage::Live);
+            let there = m.life == Life::Up && !m.lapsed && m.recall_at.is_none();
+            if held.phase == Phase::Proposed && (!live || !there || held.halt.is_some()) {
+                self.retract(&machine, &id);
+                continue;
+            }
+            let attempt = held.attempt;
+            let Some(text) = Placed::text(&id.0, id.1, &machine, attempt) else {
+                self.retract(&machine, &id);
+                continue;
+            };
+            let bytes = text.len() + 1;
+            let fits = |n: &u32, fill: &BTreeMap<u32, usize>| {
+                fill.get(n).is_some_and(|have| have + bytes <= cap)
+            };
+            let group = chosen.iter().copied().find(|n| fits(n, &fill)).or_else(|| {
+                if chosen.len() >= most {
+                    return None;
+                }
+                let open = fill.iter().filter(|(n, _)| !chosen.contains(n) && fits(n, &fill));
+                let emptiest = open.min_by_key(|(_, have)| **have).map(|(n, _)| *n);
+                Some(emptiest.unwrap_or_else(|| {
+                    (0..).find(|n| !self.groups.contains_key(n) && !chosen.contains(n)).unwrap_or(0)
+                }))
+            });
+            let new_job = live && !jobs.contains(&id.0);
+            let Some(group) = group.filter(|_| !new_job || jobs.len() < ifs_left) else {
+                wait.push_back((machine, id));
+                continue;
+            };
+            if live {
+                jobs.insert(id.0.clone());
+            }
+            chosen.insert(group);
+            *fill.entry(group).or_default() += bytes;
+            adds.push(Entry { group, machine, id, attempt, bytes });
+        }
+        self.proposals = wait;
+        if batch {
+            // The groups with most to take out.
+            let mut rest: Vec<(usize, u32)> = leaving
+                .iter()
+                .filter(|(n, _)| !chosen.contains(n))
+                .map(|(n, v)| (v.len(), *n))
+                .collect();
+            rest.sort_unstable_by(|a, b| b.cmp(a));
+            for (_, n) in rest.into_iter().take(c::CLEAN_GROUPS) {
+                if chosen.len() < most {
+                    chosen.insert(n);
+                }
+            }
+        }
+        for n in &chosen {
+            let g = self.groups.entry(*n).or_default();
+            let out = leaving.remove(n).unwrap_or_default();
+            let gone: BTreeSet<(&TaskId, u64)> = out.iter().map(|e| (&e.id, e.attempt)).collect();
+            let stay = g.tasks.iter().filter(|((id, a), _)| !gone.contains(&(id, *a)));
+            let mut texts: Vec<String> =
+                stay.filter_map(|((id, a), (m, _))| Placed::text(&id.0, id.1, m, *a)).collect();
+            let new = adds.iter().filter(|e| e.group == *n);
+            texts.extend(new.filter_map(|e| Placed::text(&e.id.0, e.id.1, &e.machine, e.attempt)));
+            let rec = PlaceRec { tasks: texts.join(" ") };
+            if !p.put(place_key(*n), raw(&rec), g.stamp) {
+                log::error!("group {n} does not fit into the commit");
+                for e in adds.extract_if(.., |e| e.group == *n) {
+                    self.proposals.push_back((e.machine, e.id));
+                }
+                continue;
+            }
+            g.urgent = false;
+            f.groups.push(*n);
+            f.leaves.extend(out);
+        }
+        for uid in jobs {
+            if adds.iter().any(|e| e.id.0 == uid) {
+                p.ifs.insert(end_key(&uid), 0);
+            }
+        }
+        f.adds = adds;
+    }
+
+    /// The images on machines, in parts that fit into a value each.
+    fn kits_parts(&self, cap: usize) -> Vec<KitsRec> {
+        let mut parts: Vec<KitsRec> = Vec::new();
+        let mut bytes = cap;
+        for m in self.machines.values().filter(|m| !m.kits.is_empty() && m.life != Life::Gone) {
+            // Each image is named once a part; index and comma take a few bytes each.
+            let names: usize = m.kits.iter().map(|(k, _)| k.len() + 24).sum();
+            let most = m.name.len() + 8 + m.kits.len() * 5;
+            if bytes + names + most + c::GROUP_FRAME_BYTES > cap {
+                parts.push(KitsRec::default());
+                bytes = 0;
+            }
+            let Some(part) = parts.last_mut() else { continue };
+            let mut held = Vec::new();
+            for (kit, gb) in &m.kits {
+                let i = match part.kits.iter().position(|(k, _)| k == kit) {
+                    Some(i) => i,
+                    None => {
+                        part.kits.push((kit.clone(), *gb));
+                        bytes += kit.len() + 24;
+                        part.kits.len() - 1
+                    }
+                };
+                held.push(i);
+            }
+            bytes += most;
+            part.held.insert(m.name.to_string(), held);
+        }
+        parts
+    }
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -177,7 +177,7 @@
             return;
         };
         if now >= l.fleet.look_at {
-            l.fleet.look_at = now + c::FLEET_PERIOD_MS;
+            l.fleet.look_at = now + l.fleet_period();
             if let Some(catalog) = &self.catalog {
                 l.note_arrivals(self.now, catalog);
             }
@@ -227,7 +227,6 @@
     fn list_complete(&mut self, begun: u64) {
         let now = self.now.mono;
         let lag = (self.cfg.params.cloud.list_lag_s * 2.0 * c::MS_PER_S) as u64 + c::LIST_MARGIN_MS;
-        let replica = &self.replica;
         let Some(l) = self.leader.as_mut() else {
             return;
         };
@@ -241,7 +240,7 @@
             }
             let name: Name = h.uid.as_str().into();
             let new = !l.books.machines.contains_key(&name);
-            let m = l.books.machine_entry(&name, replica.stamp(&place_key(&name)), now);
+            let m = l.books.machine_entry(&name, now);
             if m.sku.is_empty() {
                 m.sku = h.build.clone();
                 m.yard = h.yard.clone();
@@ -301,9 +300,6 @@
         if let Some(m) = l.books.machines.get_mut(name) {
             m.life = Life::Gone;
             m.kits.clear();
-            if m.key_stamp != 0 {
-                m.touch(false);
-            }
         }
         l.plan_soon(now);
     }
@@ -322,7 +318,7 @@
         for name in over {
             l.books.settle_all(&name);
         }
-        l.books.machines.retain(|_, m| m.life != Life::Gone || !m.placements.is_empty() || m.dirty);
+        l.books.machines.retain(|_, m| m.life != Life::Gone || !m.placements.is_empty());
     }
 
     /// Empties the dearest thinly used machine when the others have room for its work and
@@ -627,24 +623,32 @@
                 });
             }
         }
+        // How many machines of each kind there are: yards with fewer come first.
+        let mut counts: HashMap<(&str, bool), usize> = HashMap::new();
+        for m in l.books.machines.values().filter(|m| m.life != Life::Gone) {
+            *counts.entry((m.yard.as_str(), m.spot)).or_default() += 1;
+        }
         let mut wanted: HashMap<(usize, String, bool), usize> = HashMap::new();
         // Services first: they may not be able to use what the others get.
         unmet.sort_by_key(|u| (!u.standing, u.spot_ok));
         for u in &unmet {
             let mut slots = u.slots;
+            // Those before this one have no room for such a task any more.
+            let mut from = 0;
             let mut in_yard: HashMap<String, u32> = u.in_yard.iter().cloned().collect();
             while slots > c::SLOT_EPSILON {
                 let open = |yard: &str| {
                     u.yard.as_ref().is_none_or(|y| y == yard)
                         && in_yard.get(yard).copied().unwrap_or(0) < u.zone_cap
                 };
-                let on_way = coming.iter_mut().find(|x| {
+                let on_way = coming.iter().skip(from).position(|x| {
                     (u.spot_ok || !x.spot)
                         && u.skus[x.build]
                         && open(&x.yard)
                         && x.total.fits(&u.need)
                 });
-                if let Some(x) = on_way {
+                from = on_way.map_or(coming.len(), |n| from + n);
+                if let Some(x) = coming.get_mut(from) {
                     x.total -= u.need;
                     *in_yard.entry(x.yard.clone()).or_default() += 1;
                     slots -= 1.0;
@@ -670,14 +674,7 @@
                                 continue;
                             }
                             let price = if spot { b.low_price } else { b.rate } / per;
-                            let same = l
-                                .books
-                                .machines
-                                .values()
-                                .filter(|m| {
-                                    m.yard == *yard && m.spot == spot && m.life != Life::Gone
-                                })
-                                .count()
+                            let same = counts.get(&(yard.as_str(), spot)).copied().unwrap_or(0)
                                 + wanted.get(&(i, yard.clone(), spot)).copied().unwrap_or(0);
                             let better = best.as_ref().is_none_or(|(p, n, _)| {
                                 price < *p - 1e-9 || (price < *p + 1e-9 && same < *n)
@@ -760,7 +757,7 @@
                     if l.fleet.is_gone(&n) {
                         continue;
                     }
-                    let m = l.books.machine_entry(&name, 0, now);
+                    let m = l.books.machine_entry(&name, now);
                     if m.sku.is_empty() {
                         m.sku = build.sku.clone();
                         m.yard = rental.yard.clone();
@@ -876,13 +873,9 @@
     /// Room to keep for services: what one of their tasks takes, and how many are expected
     /// to arrive while a machine boots.
     fn spare_slots(&self, now: u64, catalog: &Catalog) -> Option<(Resources, f64)> {
-        let need = self
-            .books
-            .jobs
-            .values()
-            .filter(|j| j.spec.as_ref().is_some_and(|s| s.shape == Shape::Standing))
-            .max_by_key(|j| (j.stamp, j.uid.clone()))?
-            .need;
+        let books = &self.books;
+        let newest = books.queue.values().rev().find(|uid| books.is_standing(uid))?;
+        let need = books.jobs.get(newest)?.need;
         let tasks: u32 = self.fleet.arrivals.iter().map(|(_, n)| n).sum();
         let ready = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max) * c::MS_PER_S;
         let expected = (f64::from(tasks) / self.watched_ms(now) * ready).ceil();
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -1,34 +1,38 @@
 //! The leader: takeover, write-ahead commits, planning passes, evidence that time gives.
 
+use super::commits::Entry;
 use super::fleet::Fleet;
 use super::planner::{self, JobView, MachineView, Running, Snapshot, TeamView};
 use super::workers::HeldReport;
 use super::*;
 use crate::bookkeeping::books::*;
 use crate::bookkeeping::records::*;
-use crate::protocol::state::{raw, Committed, Conflict, If, Write};
 use crate::protocol::users::Shape;
 use crate::protocol::workers::{Cause, TaskStatus};
 use crate::protocol::Resources;
 use std::collections::BTreeMap;
 
 /// A commit that is under way.
-#[derive(Debug)]
-struct InFlight {
-    commit: Commit,
-    body: Vec<u8>,
-    /// Machines whose keys it writes, with the placements that it settles.
-    machines: Vec<(Name, Vec<TaskId>)>,
-    chunks: Vec<(Name, u32)>,
-    finishes: Vec<Name>,
-    garbage: Vec<(String, u64)>,
+#[derive(Debug, Default)]
+pub(super) struct InFlight {
+    pub commit: Commit,
+    pub body: Vec<u8>,
+    /// Groups of placements that it writes, with what it stores and takes out.
+    pub groups: Vec<u32>,
+    pub adds: Vec<Entry>,
+    pub leaves: Vec<Entry>,
+    /// Groups of bitmaps that it writes, and the chunks that changed.
+    pub done_groups: Vec<u32>,
+    pub chunks: Vec<(Name, u32)>,
+    pub finishes: Vec<Name>,
+    pub garbage: Vec<(String, u64)>,
     /// It was sent at least once with no answer: it may have been applied.
-    unclear: bool,
+    pub unclear: bool,
     /// A copy is out now.
-    sent: bool,
+    pub sent: bool,
     /// Waits for a read that tells what became of it.
-    reading: Option<u64>,
-    not_before: u64,
+    pub reading: Option<u64>,
+    pub not_before: u64,
 }
 
 /// Run times seen for a class of jobs, against what owners guessed.
@@ -57,16 +61,20 @@
     /// When the next line of the day's story is due.
     story_at: u64,
     counter: u64,
-    flight: Option<InFlight>,
+    pub(super) flight: Option<InFlight>,
     plan_at: u64,
     planned_at: u64,
-    done_at: u64,
+    pub(super) done_at: u64,
+    /// When the images on machines are written next, and when keys that nobody needs are
+    /// looked for.
+    pub(super) kits_at: u64,
+    pub(super) garbage_at: u64,
     pub(super) runs: BTreeMap<String, RunStats>,
     pub(super) reservation: Option<(Name, Name)>,
     /// The teams' shares, in thousandths of the fleet, and whether they are in the store.
     pub(super) shares: Vec<i64>,
-    shares_written: bool,
-    catalog_written: bool,
+    pub(super) shares_written: bool,
+    pub(super) catalog_written: bool,
 }
 
 impl Leader {
@@ -89,6 +97,8 @@
             plan_at: now,
             planned_at: 0,
             done_at: now,
+            kits_at: now + c::KITS_PERIOD_MS,
+            garbage_at: now + c::GARBAGE_PERIOD_MS,
             runs: BTreeMap::new(),
             reservation: None,
             shares: Vec::new(),
@@ -136,16 +146,28 @@
 
     /// A pass is wanted before its period is over.
     pub(super) fn plan_soon(&mut self, now: u64) {
-        self.plan_at = self.plan_at.min(now.max(self.planned_at + c::PASS_GAP_MS));
+        self.plan_at = self.plan_at.min(now.max(self.planned_at + self.pass_gap()));
+    }
+
+    /// Least milliseconds between two passes: what a pass costs grows with the fleet.
+    fn pass_gap(&self) -> u64 {
+        c::PASS_GAP_MS + (self.books.machines.len() as f64 * c::PASS_GAP_MACHINE_MS) as u64
+    }
+
+    /// Milliseconds between two looks at the size of the fleet, for the same reason.
+    pub(super) fn fleet_period(&self) -> u64 {
+        c::FLEET_PERIOD_MS + (self.books.machines.len() as f64 * c::FLEET_MACHINE_MS) as u64
     }
 
     pub(super) fn hurry(&self) -> bool {
-        !self.held.is_empty() || self.books.machines.values().any(|m| m.urgent)
+        !self.held.is_empty() || !self.books.proposals.is_empty()
     }
 
     /// Whether a commit that may bring orders for a worker is under way or due.
     pub(super) fn deciding(&self, now: u64) -> bool {
-        self.flight.as_ref().is_some_and(|f| !f.unclear) || self.plan_at <= now + c::PASS_GAP_MS
+        self.flight.as_ref().is_some_and(|f| !f.unclear)
+            || !self.books.proposals.is_empty()
+            || self.plan_at <= now + self.pass_gap()
     }
 
     /// The run time to expect of a job's task, in milliseconds: the owner's guess, corrected
@@ -196,7 +218,9 @@
             l.story_at = now + c::STORY_PERIOD_MS;
             l.tell();
         }
-        if self.leader.as_ref().is_some_and(|l| l.plan_at <= now) && self.served() {
+        // What the last pass decided is stored first: to decide more would only queue it.
+        let due = |l: &Leader| l.plan_at <= now && l.books.proposals.is_empty();
+        if self.leader.as_ref().is_some_and(due) && self.served() {
             self.plan_pass();
         }
         self.commit_due();
@@ -349,339 +373,6 @@
         }
         l.fleet.note_unmet(&view, &plan, &catalog);
     }
-
-    // --- commits -----------------------------------------------------------------
-
-    fn commit_due(&mut self) {
-        let now = self.now.mono;
-        let Some(l) = self.leader.as_ref() else {
-            return;
-        };
-        if let Some(f) = &l.flight {
-            if !f.sent && f.reading.is_none() && now >= f.not_before {
-                self.send_flight();
-            }
-            return;
-        }
-        let batch = now >= l.done_at;
-        let due = l.books.machines.values().any(|m| m.urgent || (m.dirty && batch))
-            || l.books.jobs.values().any(|j| j.complete())
-            || (batch && (!l.books.garbage.is_empty() || !l.catalog_written));
-        if due && self.served() {
-            self.build_flight(batch);
-            self.send_flight();
-        }
-    }
-
-    /// Packs what is to be written into one commit, the most urgent first.
-    fn build_flight(&mut self, batch: bool) {
-        let now = self.now.mono;
-        let max_ops = self.cfg.params.state.txn_ops;
-        let max_ifs = max_ops * 4;
-        let cap = self.cfg.params.state.value_kb * 1024.0;
-        let Some(l) = self.leader.as_mut() else {
-            return;
-        };
-        if batch {
-            l.done_at = now + c::DONE_BATCH_MS;
-        }
-        let mut ifs: BTreeMap<String, u64> = BTreeMap::new();
-        ifs.insert(leader_key(), l.stamp);
-        let mut writes = Vec::new();
-        let mut f = InFlight {
-            commit: Commit { conditions: vec![], writes: vec![] },
-            body: vec![],
-            machines: vec![],
-            chunks: vec![],
-            finishes: vec![],
-            garbage: vec![],
-            unclear: false,
-            sent: false,
-            reading: None,
-            not_before: 0,
-        };
-        let complete: Vec<Name> =
-            l.books.jobs.values().filter(|j| j.complete()).map(|j| j.uid.clone()).collect();
-        for uid in complete {
-            if writes.len() >= max_ops {
-                break;
-            }
-            let job = &l.books.jobs[&uid];
-            let rec = JobRec { at: job.at_wall, stage: Stage::Done, loads: job.loads, spec: None };
-            ifs.insert(job_key(&uid), job.stamp);
-            writes.push(Write::put(job_key(&uid), &rec));
-            f.finishes.push(uid);
-        }
-        let mut names: Vec<Name> = l
-            .books
-            .machines
-            .values()
-            .filter(|m| m.urgent || (m.dirty && batch))
-            .map(|m| m.name.clone())
-            .collect();
-        names.sort_by_key(|n| !l.books.machines[n].urgent);
-        'machines: for name in names {
-            // The bitmaps of what it settles as done go first or along.
-            let m = &l.books.machines[&name];
-            let mut chunks = Vec::new();
-            let mut jobs = Vec::new();
-            for ((uid, task), p) in &m.placements {
-                let Some(job) = l.books.jobs.get(uid) else {
-                    continue;
-                };
-                if p.ended.is_some() {
-                    let chunk = task / c::DONE_CHUNK_TASKS;
-                    let id = (uid.clone(), chunk);
-                    if job.dirty_chunks.contains(&chunk)
-                        && !f.finishes.contains(uid)
-                        && !f.chunks.contains(&id)
-                        && !chunks.contains(&id)
-                    {
-                        chunks.push(id);
-                    }
-                } else if p.phase == Phase::Proposed && job.stage == Stage::Live {
-                    jobs.push((job_key(uid), job.stamp));
-                }
-            }
-            for (uid, chunk) in chunks {
-                if writes.len() >= max_ops || ifs.len() + 2 > max_ifs {
-                    break 'machines;
-                }
-                let job = &l.books.jobs[&uid];
-                let rec = DoneRec { bits: job.done.chunk_text(chunk) };
-                let key = done_key(&uid, chunk);
-                ifs.insert(key.clone(), job.chunk_stamps.get(&chunk).copied().unwrap_or(0));
-                ifs.insert(job_key(&uid), job.stamp);
-                writes.push(Write::put(key, &rec));
-                f.chunks.push((uid, chunk));
-            }
-            if writes.len() >= max_ops || ifs.len() + jobs.len() + 1 > max_ifs {
-                break;
-            }
-            let rec = m.record();
-            let data = raw(&rec);
-            if data.get().len() as f64 > cap {
-                log::error!("{name}: its key would be too large");
-                continue;
-            }
-            ifs.extend(jobs);
-            ifs.insert(place_key(&name), m.key_stamp);
-            writes.push(Write::Put { write: place_key(&name), data, tenancy: None });
-            let ended = m
-                .placements
-                .iter()
-                .filter(|(_, p)| p.ended.is_some())
-                .map(|(id, _)| id.clone())
-                .collect();
-            f.machines.push((name.clone(), ended));
-        }
-        if batch && writes.len() < max_ops && !l.catalog_written {
-            if let Some(catalog) = &self.catalog {
-                let known = self.replica.catalog.as_ref();
-                let alike = known.is_some_and(|k| {
-                    k.value.builds.iter().map(|b| &b.sku).eq(catalog.builds.iter().map(|b| &b.sku))
-                });
-                let data = raw(&**catalog);
-                if !alike && data.get().len() as f64 <= cap {
-                    ifs.insert(catalog_key(), self.replica.stamp(&catalog_key()));
-                    writes.push(Write::Put { write: catalog_key(), data, tenancy: None });
-                }
-                l.catalog_written = true;
-            }
-        }
-        if batch && writes.len() < max_ops && ifs.len() < max_ifs && !l.shares_written {
-            let names = self.cfg.params.teams.iter().map(|t| t.name.clone());
-            let rec = ShareRec { term: l.term, teams: names.zip(l.shares.clone()).collect() };
-            ifs.insert(shares_key(), self.replica.stamp(&shares_key()));
-            writes.push(Write::put(shares_key(), &rec));
-            l.shares_written = true;
-        }
-        while batch && writes.len() < max_ops && ifs.len() < max_ifs {
-            let Some((key, stamp)) = l.books.garbage.pop() else {
-                break;
-            };
-            ifs.insert(key.clone(), stamp);
-            writes.push(Write::Remove { remove: key.clone() });
-            f.garbage.push((key, stamp));
-        }
-        if writes.is_empty() {
-            return;
-        }
-        for (name, _) in &f.machines {
-            if let Some(m) = l.books.machines.get_mut(name) {
-                m.dirty = false;
-                m.urgent = false;
-            }
-        }
-        for (uid, chunk) in &f.chunks {
-            if let Some(j) = l.books.jobs.get_mut(uid) {
-                j.dirty_chunks.remove(chunk);
-            }
-        }
-        let conditions = ifs.into_iter().map(|(key, stamp)| If { key, stamp }).collect();
-        f.commit = Commit { conditions, writes };
-        f.body = serde_json::to_vec(&f.commit).unwrap_or_default();
-        l.flight = Some(f);
-    }
-
-    fn send_flight(&mut self) {
-        let now = self.now.mono;
-        let Some(l) = self.leader.as_mut() else {
-            return;
-        };
-        let Some(f) = l.flight.as_mut() else { return };
-        let n = f.commit.writes.len() as f64;
-        if !self.writes.take(n, c::WRITE_RESERVE, now) {
-            return;
-        }
-        f.sent = true;
-        let body = f.body.clone();
-        self.metrics.state_writes += n as u64;
-        let purpose = Purpose::LeaderCommit { term: l.term };
-        self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
-    }
-
-    pub(super) fn leader_committed(&mut self, term: u64, reply: Option<(u16, Vec<u8>)>) {
-        let now = self.now.mono;
-        // An answer to a commit of an earlier term of ours says nothing about this one's.
-        let Some(l) = self.leader.as_mut().filter(|l| l.term == term) else { return };
-        let Some(f) = l.flight.as_mut() else { return };
-        f.sent = false;
-        match reply {
-            Some((200, body)) => match serde_json::from_slice::<Committed>(&body) {
-                Ok(done) => self.flight_applied(done.ledger_rev),
-                Err(_) => f.unclear = true,
-            },
-            Some((409, body)) => {
-                let failed =
-                    serde_json::from_slice::<Conflict>(&body).map(|c| c.failed).unwrap_or_default();
-                log::debug!("commit refused: {failed:?}");
-                if !f.unclear && failed.contains(&leader_key()) {
-                    return self.step_down("the leader key has changed");
-                }
-                f.reading = Some(now);
-                self.leader_wants_fresh();
-            }
-            // Not executed: if no earlier copy can have been, it is built anew.
-            Some((429 | 503, _)) => {
-                f.not_before = now + c::STATE_RETRY_MS;
-                if !f.unclear {
-                    self.flight_dropped();
-                }
-            }
-            Some((status, body)) => {
-                log::error!("commit answered {status}: {}", String::from_utf8_lossy(&body));
-                f.not_before = now + c::STATE_RETRY_MS;
-                if !f.unclear {
-                    self.flight_dropped();
-                }
-            }
-            None => f.unclear = true,
-        }
-    }
-
-    /// A refused commit, after a fresh read: applied by an earlier copy, or not at all.
-    fn resolve_flight(&mut self, begun: u64) {
-        let Some(l) = self.leader.as_mut() else { return };
-        let Some(f) = l.flight.as_mut() else { return };
-        let Some(since) = f.reading else { return };
-        if begun < since {
-            // A read from before the refusal can't tell.
-            return self.leader_wants_fresh();
-        }
-        f.reading = None;
-        if !f.unclear {
-            return self.flight_dropped();
-        }
-        // All or nothing: one written key tells.
-        let applied = f.commit.writes.iter().find_map(|w| {
-            let Write::Put { write, data, .. } = w else {
-                return None;
-            };
-            let before = f.commit.conditions.iter().find(|i| i.key == *write)?.stamp;
-            let stamp = self.replica.stamp(write);
-            if stamp <= before {
-                return None;
-            }
-            self.replica.holds(write, data).then_some(stamp)
-        });
-        match applied {
-            Some(rev) => self.flight_applied(rev),
-            None => self.flight_dropped(),
-        }
-    }
-
-    /// The commit was not applied and never will be: all of it is to be written again.
-    fn flight_dropped(&mut self) {
-        let Some(l) = self.leader.as_mut() else {
-            return;
-        };
-        let Some(f) = l.flight.take() else { return };
-        for (uid, chunk) in f.chunks {
-            if let Some(j) = l.books.jobs.get_mut(&uid) {
-                if j.stage == Stage::Live {
-                    j.dirty_chunks.insert(chunk);
-                }
-            }
-        }
-        for (name, _) in &f.machines {
-            l.books.retract(name);
-            if let Some(m) = l.books.machines.get_mut(name) {
-                m.touch(true);
-            }
-        }
-        // Stamps of keys that changed under us are taken from the replica. Only our own
-        // earlier commits and users' requests write, so nothing is lost by that.
-        for (name, _) in f.machines {
-            if let Some(m) = l.books.machines.get_mut(&name) {
-                m.key_stamp = self.replica.stamp(&place_key(&name));
-            }
-        }
-        for (key, before) in f.garbage {
-            // Only what is still as it was: it may have come into use again.
-            if self.replica.stamp(&key) == before && before != 0 {
-                l.books.garbage.push((key, before));
-            }
-        }
-        l.plan_soon(self.now.mono);
-        self.check_term();
-    }
-
-    fn flight_applied(&mut self, rev: u64) {
-        let now = self.now.mono;
-        let Some(l) = self.leader.as_mut() else {
-            return;
-        };
-        let Some(f) = l.flight.take() else { return };
-        for uid in &f.finishes {
-            log::debug!("{uid}: done");
-            l.books.end_job(uid, Stage::Done, rev);
-        }
-        for (uid, chunk) in &f.chunks {
-            if let Some(j) = l.books.jobs.get_mut(uid) {
-                if j.stage == Stage::Live {
-                    j.chunk_stamps.insert(*chunk, rev);
-                } else {
-                    l.books.garbage.push((done_key(uid, *chunk), rev));
-                }
-            }
-        }
-        for (name, ended) in &f.machines {
-            if let Some(m) = l.books.machines.get_mut(name) {
-                m.key_stamp = rev;
-            }
-            l.books.committed(name, &f.commit);
-            for id in ended {
-                l.books.settled(name, id);
-            }
-        }
-        let freed = f.machines.iter().any(|(_, e)| !e.is_empty());
-        if freed {
-            l.plan_soon(now);
-        }
-        let commit = f.commit;
-        self.own_commit(&commit, rev);
-    }
 }
 
 /// A snapshot with the names behind its indices.
@@ -712,9 +403,7 @@
             *kits.entry(k.to_string()).or_insert(n)
         };
         let silent = (cfg.params.workers.report_s * c::SILENT_PERIODS * c::MS_PER_S) as u64;
-        let slots = ((cfg.params.state.value_kb * 1024.0) as usize)
-            .saturating_sub(c::PLACEMENT_FRAME_BYTES)
-            / c::PLACEMENT_BYTES;
+        let slots = c::HTTP_BODY_MAX / c::REPORT_TASK_BYTES;
 
         let mut v = View {
             snapshot: Snapshot::default(),
@@ -870,7 +559,7 @@
                 rank: spec.rank,
                 team,
                 standing: spec.shape == Shape::Standing,
-                arrival: job.stamp,
+                arrival: job.arrival,
                 waited_ms,
                 missed,
                 within,
@@ -908,66 +597,6 @@
     }
 }
 
-impl Books {
-    /// A commit that wrote a machine's key is in: what it names may be ordered.
-    fn committed(&mut self, machine: &Name, commit: &Commit) {
-        let key = place_key(machine);
-        let rec: Option<PlaceRec> = commit.writes.iter().find_map(|w| match w {
-            Write::Put { write, data, .. } if *write == key => {
-                serde_json::from_str(data.get()).ok()
-            }
-            _ => None,
-        });
-        let (Some(rec), Some(m)) = (rec, self.machines.get_mut(machine)) else {
-            return;
-        };
-        for (job, task, attempt) in rec.tasks {
-            if let Some(p) = m.placements.get_mut(&(Name::from(job.as_str()), task)) {
-                if p.attempt == attempt {
-                    p.phase = Phase::Committed;
-                }
-            }
-        }
-    }
-
-    /// Proposals that never reached the store are taken back.
-    fn retract(&mut self, machine: &Name) {
-        let Some(m) = self.machines.get_mut(machine) else {
-            return;
-        };
-        let proposed: Vec<TaskId> = m
-            .placements
-            .iter()
-            .filter(|(_, p)| p.phase == Phase::Proposed && p.ended.is_none())
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in proposed {
-            m.placements.remove(&id);
-            let Some(job) = self.jobs.get_mut(&id.0) else {
-                continue;
-            };
-            job.placed.remove(&id.1);
-            if let Some(spec) = &job.spec {
-                if let Some(u) = self.usage.get_mut(&spec.crew) {
-                    *u -= job.need;
-                }
-            }
-            if job.stage == Stage::Live && !job.done.get(id.1) {
-                job.returned.insert(id.1);
-            }
-        }
-        let over: Vec<Name> = self
-            .jobs
-            .values()
-            .filter(|j| j.stage != Stage::Live && j.placed.is_empty() && j.settling.is_empty())
-            .map(|j| j.uid.clone())
-            .collect();
-        for uid in over {
-            self.drop_if_over(&uid);
-        }
-    }
-}
-
 fn guarantee(t: &crate::settings::Team) -> Resources {
     Resources::new(t.cpus, t.gpus, 0.0)
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! order of their rank (workers' reports, then answers and timers, then users' requests),
 //! and gives effects. It does no I/O; the clock and the seed of its randomness are passed in.
 
+mod commits;
 mod election;
 mod fleet;
 mod leader;
@@ -97,7 +98,7 @@
     Renew { tenancy: u64 },
     StepDown,
     LeaderCommit { term: u64 },
-    Submit { asker: Asker, spec: Rc<Spec>, at: u64, commit: Commit },
+    Submit(users::Batch),
     Withdraw { asker: Asker, uid: String, commit: Commit },
     Gossip { peer: usize },
     Relay { asker: Asker },
@@ -164,6 +165,10 @@
     /// When each worker last reported here.
     workers_seen: HashMap<String, u64>,
     metrics: Metrics,
+    /// Submissions that gather for a batch, and batches on their way.
+    gathering: Vec<users::Pending>,
+    batches_out: usize,
+    batches_made: u64,
 }
 
 impl Controller {
@@ -196,6 +201,9 @@
             term_heard: 0,
             workers_seen: HashMap::new(),
             metrics: Metrics::new(),
+            gathering: Vec::new(),
+            batches_out: 0,
+            batches_made: 0,
             cfg: Rc::new(cfg),
             op: Rc::new(op),
         }
@@ -224,8 +232,8 @@
 
     /// When the next batch is due at the latest.
     pub fn next_wake(&self) -> u64 {
-        let soon =
-            if self.leader.as_ref().is_some_and(|l| l.hurry()) { 10 } else { c::POLL_MAX_MS };
+        let hurry = !self.gathering.is_empty() || self.leader.as_ref().is_some_and(|l| l.hurry());
+        let soon = if hurry { c::POLL_SOON_MS } else { c::POLL_MAX_MS };
         self.now.mono + soon
     }
 
@@ -274,9 +282,7 @@
             Purpose::Renew { tenancy } => self.renewed(tenancy, reply),
             Purpose::StepDown => {}
             Purpose::LeaderCommit { term } => self.leader_committed(term, reply),
-            Purpose::Submit { asker, spec, at, commit } => {
-                self.submitted(asker, spec, at, commit, reply)
-            }
+            Purpose::Submit(batch) => self.submitted(batch, reply),
             Purpose::Withdraw { asker, uid, commit } => self.withdrawn(asker, uid, commit, reply),
             Purpose::Gossip { peer } => self.gossip_answered(peer, reply),
             Purpose::Relay { asker } => self.relay_answered(asker, reply),
@@ -289,6 +295,7 @@
 
     fn due(&mut self) {
         self.sync_due();
+        self.batches_due();
         self.catalog_due();
         self.gossip_due();
         self.election_due();
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -123,14 +123,14 @@
             if !self.sync.listing {
                 self.sync.listing = true;
                 let path =
-                    list_path(c::KEY_ROOT, self.sync.list_since.as_deref(), c::STATE_LIST_LIMIT);
+                    list_path(c::KEY_FAMILY, self.sync.list_since.as_deref(), c::STATE_LIST_LIMIT);
                 self.state_call("GET", path, vec![], c::STATE_LIST_MS, Purpose::List);
             }
             return;
         }
         if !self.sync.watching && !self.sync.refused {
             self.sync.watching = true;
-            let path = changes_path(c::KEY_ROOT, self.replica.rev, c::WATCH_BLOCK_MS);
+            let path = changes_path(c::KEY_FAMILY, self.replica.rev, c::WATCH_BLOCK_MS);
             self.state_call("GET", path, vec![], c::WATCH_CALL_MS, Purpose::Watch);
         }
         let pulse = now >= self.sync.fresh_begun + c::PULSE_MS;
@@ -142,7 +142,7 @@
             }
             self.sync.fresh_running = Some(std::mem::take(&mut self.sync.fresh_waiting));
             self.sync.fresh_begun = now;
-            let path = changes_path(c::KEY_ROOT, self.replica.rev, 0);
+            let path = changes_path(c::KEY_FAMILY, self.replica.rev, 0);
             self.state_call("GET", path, vec![], c::STATE_CALL_MS, Purpose::Fresh { begun: now });
         }
     }
@@ -175,6 +175,18 @@
         for item in &page.items {
             self.replica.apply_item(item);
         }
+        if let Some(key) = &self.replica.foreign {
+            // Perhaps another version still runs: neither may touch what the other keeps.
+            log::error!(
+                "the store has keys of another layout than {}, like {key}: serving nobody",
+                c::KEY_ROOT
+            );
+            self.replica = Replica::default();
+            self.sync.list_rev = None;
+            self.sync.list_since = None;
+            self.sync.not_before = self.now.mono + c::STATE_FOREIGN_MS;
+            return;
+        }
         if page.has_next {
             self.sync.list_since = page.items.last().map(|i| i.key.clone());
             return self.sync_due();
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -8,10 +8,25 @@
 use crate::bookkeeping::records::*;
 use crate::bookkeeping::replica::Stamped;
 use crate::protocol::peers::{encode, Relayed};
-use crate::protocol::state::{raw, Committed, If, Write};
+use crate::protocol::state::{raw, Committed, Conflict, If, Write};
 use crate::protocol::users::*;
 use crate::protocol::Resources;
 
+/// A submission that gathers for a batch, with everyone who asked for it.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    askers: Vec<Asker>,
+    spec: Rc<Spec>,
+    bytes: usize,
+    at: u64,
+}
+
+/// A batch of submissions on its way.
+#[derive(Debug)]
+pub(crate) struct Batch {
+    jobs: Vec<Pending>,
+}
+
 impl Controller {
     fn answer(&mut self, asker: Asker, status: u16, retry_after_s: Option<u64>, body: Vec<u8>) {
         if asker.relayed {
@@ -136,70 +151,157 @@
         Ok(())
     }
 
+    /// Takes a job that is to be accepted into the next batch. A repeat joins the first.
     fn commit_job(&mut self, asker: Asker, spec: Rc<Spec>) {
-        let rec = JobRec {
-            at: self.now.wall,
-            stage: Stage::Live,
-            loads: spec.loads,
-            spec: Some(spec.clone()),
-        };
-        let key = job_key(&spec.uid);
-        let data = raw(&rec);
-        if data.get().len() as f64 > self.cfg.params.state.value_kb * 1024.0 {
+        let bytes = raw(&spec).get().len() + c::BATCH_FRAME_BYTES;
+        if (bytes + c::BATCH_FRAME_BYTES) as f64 > self.cfg.params.state.value_kb * 1024.0 {
             return self.refuse(asker, 422, "the submission is too large to be kept", None);
         }
-        if !self.writes.take(1.0, 0.0, self.now.mono) {
-            // A peer may have some of its share left.
-            let body = serde_json::to_vec(&*spec).unwrap_or_default();
-            return self.relay_or_refuse(asker, "POST", "/v1/jobs".into(), body);
+        if self.gathering.len() >= c::USER_WAIT_MAX {
+            return self.refuse(asker, 503, "too much to do", Some(c::RETRY_AFTER_BUSY_S));
         }
-        let commit = Commit {
-            conditions: vec![If { key: key.clone(), stamp: 0 }],
-            writes: vec![Write::Put { write: key, data, tenancy: None }],
-        };
+        match self.gathering.iter_mut().find(|p| p.spec.uid == spec.uid) {
+            Some(p) => p.askers.push(asker),
+            None => {
+                self.gathering.push(Pending { askers: vec![asker], spec, bytes, at: self.now.mono })
+            }
+        }
+    }
+
+    /// Writes submissions that have gathered. While writes are short they gather for longer, so
+    /// that one write accepts more of them; none waits for longer than its user would call
+    /// quick, it is passed on or refused then.
+    pub(super) fn batches_due(&mut self) {
+        let now = self.now.mono;
+        let late = |p: &Pending| now > p.at + c::BATCH_WAIT_MS;
+        for p in self.gathering.extract_if(.., |p| late(p)).collect::<Vec<_>>() {
+            self.pass_submission(p);
+        }
+        let Some(first) = self.gathering.first() else { return };
+        let short = self.writes.left(now) < self.writes.burst() * c::WRITES_SHORT_SHARE;
+        if short && now < first.at + c::BATCH_GATHER_MS {
+            return;
+        }
+        if self.batches_out >= c::BATCHES_IN_FLIGHT {
+            return;
+        }
+        let cap = (self.cfg.params.state.value_kb * 1024.0) as usize - c::BATCH_FRAME_BYTES;
+        let txn = self.cfg.params.state.txn_ops;
+        let left = self.writes.left(now) - c::WRITE_KEEP_USERS;
+        let max_ops = (left.max(0.0) as usize).min(txn);
+        // As many values as there are writes for, each filled with jobs.
+        let mut values: Vec<(usize, Vec<Rc<Spec>>)> = Vec::new();
+        let mut jobs: Vec<Pending> = Vec::new();
+        let mut wait: Vec<Pending> = Vec::new();
+        let mut bytes = 0;
+        for p in std::mem::take(&mut self.gathering) {
+            // A condition a job and one a value.
+            let fits = jobs.len() + max_ops < txn * 4
+                && bytes + p.bytes <= c::COMMIT_BYTES - c::COMMIT_FRAME_BYTES;
+            let most = 1 << c::ARRIVAL_BITS;
+            let value = values.iter().position(|(n, v)| n + p.bytes <= cap && v.len() < most);
+            match value {
+                Some(i) if fits => {
+                    values[i].0 += p.bytes;
+                    values[i].1.push(p.spec.clone());
+                }
+                None if fits && values.len() < max_ops => {
+                    values.push((p.bytes, vec![p.spec.clone()]))
+                }
+                _ => {
+                    wait.push(p);
+                    continue;
+                }
+            }
+            bytes += p.bytes;
+            jobs.push(p);
+        }
+        self.gathering = wait;
+        if jobs.is_empty() {
+            return;
+        }
+        let mut commit = Commit::default();
+        for p in &jobs {
+            commit.conditions.push(If { key: end_key(&p.spec.uid), stamp: 0 });
+        }
+        for (_, jobs) in values {
+            self.batches_made += 1;
+            let key = batch_key(&format!("{:016x}-{}", self.incarnation, self.batches_made));
+            commit.conditions.push(If { key: key.clone(), stamp: 0 });
+            commit.writes.push(Write::put(key, &BatchRec { at: self.now.wall, jobs }));
+        }
+        let n = commit.writes.len();
+        self.writes.take(n as f64, f64::MIN, now);
+        self.metrics.state_writes += n as u64;
+        self.batches_out += 1;
         let body = serde_json::to_vec(&commit).unwrap_or_default();
-        let purpose = Purpose::Submit { asker, spec, at: self.now.mono, commit };
-        self.metrics.state_writes += 1;
+        let purpose = Purpose::Submit(Batch { jobs });
         self.state_call("POST", "/commit".into(), body, c::STATE_CALL_MS, purpose);
     }
 
-    pub(super) fn submitted(
-        &mut self,
-        asker: Asker,
-        spec: Rc<Spec>,
-        at: u64,
-        commit: Commit,
-        reply: Option<(u16, Vec<u8>)>,
-    ) {
+    /// A peer may be able to take a submission that we can't.
+    fn pass_submission(&mut self, p: Pending) {
+        let body = serde_json::to_vec(&*p.spec).unwrap_or_default();
+        for asker in p.askers {
+            self.relay_or_refuse(asker, "POST", "/v1/jobs".into(), body.clone());
+        }
+    }
+
+    pub(super) fn submitted(&mut self, batch: Batch, reply: Option<(u16, Vec<u8>)>) {
+        self.batches_out -= 1;
         match reply {
+            // Not put into the replica ahead of the watch: of a job that stands in two batches
+            // the earlier counts, and the watch tells them in their order.
             Some((200, body)) => {
-                let Ok(done) = serde_json::from_slice::<Committed>(&body) else {
-                    return self.unavailable(asker);
-                };
-                self.own_commit(&commit, done.ledger_rev);
-                self.metrics.accepted += 1;
-                let _ = self.metrics.submit_ms.record(self.now.mono - at);
-                log::debug!(
-                    "{}: accepted, {} tasks of {} for {}, {} of {} GB",
-                    spec.uid,
-                    spec.loads,
-                    spec.duty,
-                    spec.crew,
-                    spec.kit,
-                    spec.size_gb
-                );
-                self.answer_json(asker, 201, &Accepted { uid: &spec.uid, status: Status::Queued });
+                if let Ok(done) = serde_json::from_slice::<Committed>(&body) {
+                    self.sync.max_rev = self.sync.max_rev.max(done.ledger_rev);
+                }
+                for p in batch.jobs {
+                    self.metrics.accepted += 1;
+                    let _ = self.metrics.submit_ms.record(self.now.mono - p.at);
+                    log::debug!(
+                        "{}: accepted, {} tasks of {} for {}, {} of {} GB",
+                        p.spec.uid,
+                        p.spec.loads,
+                        p.spec.duty,
+                        p.spec.crew,
+                        p.spec.kit,
+                        p.spec.size_gb
+                    );
+                    for asker in p.askers {
+                        let accepted = Accepted { uid: &p.spec.uid, status: Status::Queued };
+                        self.answer_json(asker, 201, &accepted);
+                    }
+                }
             }
-            Some((409, _)) => {
-                let uid = spec.uid.clone();
-                self.want_fresh(Waiter::Submit { asker, uid, verdict: None, spec: Some(spec) });
+            // One of them has ended in the meantime: that one is answered as it is, the others
+            // gather again.
+            Some((409, body)) => {
+                let failed =
+                    serde_json::from_slice::<Conflict>(&body).map(|c| c.failed).unwrap_or_default();
+                for p in batch.jobs {
+                    if failed.contains(&end_key(&p.spec.uid)) {
+                        for asker in p.askers {
+                            let uid = p.spec.uid.clone();
+                            let spec = None;
+                            self.want_fresh(Waiter::Submit { asker, uid, verdict: None, spec });
+                        }
+                    } else {
+                        self.gathering.push(p);
+                    }
+                }
             }
             Some((429, _)) => {
-                self.refuse(asker, 503, "too many submissions", Some(c::RETRY_AFTER_S))
+                for p in batch.jobs {
+                    for asker in p.askers {
+                        self.refuse(asker, 503, "too many submissions", Some(c::RETRY_AFTER_S));
+                    }
+                }
             }
             _ => {
-                let body = serde_json::to_vec(&*spec).unwrap_or_default();
-                self.relay_or_refuse(asker, "POST", "/v1/jobs".into(), body);
+                for p in batch.jobs {
+                    self.pass_submission(p);
+                }
             }
         }
     }
@@ -284,7 +386,7 @@
         let status = self.status_of(uid, job);
         let (done, running) = match status {
             Status::Done => (job.value.loads, 0),
-            Status::Withdrawn => (self.replica.done_bitmap(uid).count(), 0),
+            Status::Withdrawn => (job.value.done, 0),
             _ => (self.replica.done_bitmap(uid).count(), self.replica.placed(uid)),
         };
         self.answer_json(asker, 200, &View { uid, status, done, running });
@@ -317,13 +419,18 @@
         let Some(job) = self.replica.jobs.get(uid) else {
             return;
         };
-        let rec = JobRec { stage: Stage::Withdrawn, ..job.value.clone() };
-        let key = job_key(uid);
+        let rec = EndRec {
+            at: job.value.at,
+            stage: Stage::Withdrawn,
+            loads: job.value.loads,
+            done: self.replica.done_bitmap(uid).count(),
+        };
+        let key = end_key(uid);
         let commit = Commit {
-            conditions: vec![If { key: key.clone(), stamp: job.stamp }],
+            conditions: vec![If { key: key.clone(), stamp: 0 }],
             writes: vec![Write::put(key, &rec)],
         };
-        if !self.writes.take(1.0, 0.0, self.now.mono) {
+        if !self.writes.take(1.0, c::WRITE_KEEP_USERS, self.now.mono) {
             return self.refuse(asker, 503, "too many requests", Some(c::RETRY_AFTER_S));
         }
         let body = serde_json::to_vec(&commit).unwrap_or_default();
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -65,7 +65,6 @@
     fn absorb(&mut self, conn: ConnId, report: Report) {
         let now = self.now.mono;
         let catalog = self.catalog.clone();
-        let key_stamp = self.replica.stamp(&place_key(&report.stead));
         let Some(l) = self.leader.as_mut() else {
             return;
         };
@@ -76,7 +75,7 @@
         }
         let name: Name = report.stead.as_str().into();
         let ours = report.baton == l.term;
-        let m = l.books.machine_entry(&name, key_stamp, now);
+        let m = l.books.machine_entry(&name, now);
         let id = (report.tenure, report.tally);
         if id <= m.newest {
             // Late or repeated: the worker has given it up.
@@ -167,7 +166,6 @@
                 .map_or(0.0, |b| b.local_gb);
             if let Some(m) = l.books.machines.get_mut(&name) {
                 m.note_kit(&spec.kit, spec.size_gb, room);
-                m.touch(false);
             }
             let _ = self.metrics.start_ms.record(now - placed_at);
             log::debug!("{job}/{task}: runs on {name}, {} ms after it was placed", now - placed_at);
@@ -212,7 +210,7 @@
         let mut keep = Vec::new();
         for h in l.held.drain(..) {
             let wants = l.books.machines.get(&h.machine).is_some_and(|m| {
-                m.urgent || (m.life == Life::Up && !m.draining && m.recall_at.is_none())
+                m.proposed > 0 || (m.life == Life::Up && !m.draining && m.recall_at.is_none())
             });
             if deciding && wants && now < h.since + c::REPORT_HOLD_MS {
                 keep.push(h);
@@ -385,18 +383,6 @@
 }
 
 impl Books {
-    /// A machine by name, made if it is new.
-    pub(super) fn machine_entry(&mut self, name: &Name, key_stamp: u64, now: u64) -> &mut Machine {
-        if !self.machines.contains_key(name) {
-            let mut m = Machine::new(name.clone(), now);
-            m.key_stamp = key_stamp;
-            let key = place_key(name);
-            self.garbage.retain(|(k, _)| *k != key);
-            self.machines.insert(name.clone(), m);
-        }
-        self.machines.get_mut(name).expect("just made")
-    }
-
     /// A task that runs with no placement: counted where it is, so that it is not started
     /// elsewhere, and halted.
     fn count_stray(&mut self, machine: &Name, id: &TaskId, attempt: u64, now: u64) {
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -63,7 +63,7 @@
 }
 
 /// `POST /commit`.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Commit {
     #[serde(rename = "if")]
     pub conditions: Vec<If>,
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -91,9 +91,12 @@
     Ok((uid.to_string(), value))
 }
 
+/// What every job id begins with.
+pub const UID_PREFIX: &str = "job-";
+
 /// Whether a job id has the form that the protocol gives.
 pub fn valid_uid(uid: &str) -> bool {
-    uid.strip_prefix("job-")
+    uid.strip_prefix(UID_PREFIX)
         .is_some_and(|d| (1..=19).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
 }
 
