Jobs of one commit have arrival numbers of their own

Cause: batches written by one commit have one revision, and their jobs got the same arrival numbers; of two jobs with one number only one was ever planned. A batch now tells at which number its jobs begin; a small test guards it.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -128,6 +128,10 @@
 pub struct BatchRec {
     /// Time of day of the acceptance, in milliseconds.
     pub at: u64,
+    /// Number of its first job among all that one commit accepted: batches of one commit have
+    /// the same revision, and no two jobs may have the same arrival number.
+    #[serde(default)]
+    pub first: u64,
     pub jobs: Vec<Rc<Spec>>,
 }
 
--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -184,7 +184,7 @@
                 None => spec.uid.as_str().into(),
             };
             names.push(uid.clone());
-            let arrival = (stamp << c::ARRIVAL_BITS) + i as u64;
+            let arrival = (stamp << c::ARRIVAL_BITS) + rec.first + i as u64;
             let new = JobRec {
                 at: rec.at,
                 stage: Stage::Live,
@@ -321,6 +321,14 @@
         Event { write: Some(key), remove: None, data: Some(raw(rec)), stamp }
     }
 
+    fn spec(uid: &str, loads: u32) -> BatchRec {
+        let v = serde_json::json!({"uid": uid, "duty": "d", "crew": "c", "shape": "batch",
+            "rank": "high", "loads": loads, "cores": 1.0, "gpus": 0.0, "ram_gb": 1.0,
+            "kit": "k", "size_gb": 1.0, "together": false, "apart": false,
+            "lendables": true, "run_guess_s": 1.0, "mark_every_s": 0.0, "mark_cost_s": 0.0});
+        BatchRec { at: 5, first: 0, jobs: vec![serde_json::from_value(v).expect("a submission")] }
+    }
+
     fn one() -> PlaceRec {
         PlaceRec { tasks: Placed::text("job-1", 0, "n-1", 7).expect("can be written") }
     }
@@ -349,19 +357,24 @@
         assert_eq!((r.places.len(), r.placed("job-1")), (1, 1), "a later write counts");
     }
 
+    #[test]
+    fn jobs_of_one_commit_have_arrival_numbers_of_their_own() {
+        // Two batches of one commit once gave their jobs the same numbers, and of two jobs with
+        // one number only one was ever planned.
+        let mut r = Replica::default();
+        let mut two = spec("job-2", 1);
+        two.first = 1;
+        r.write(&batch_key("a"), &raw(&spec("job-1", 1)), 4);
+        r.write(&batch_key("b"), &raw(&two), 4);
+        assert!(r.jobs["job-1"].stamp < r.jobs["job-2"].stamp);
+    }
+
     #[test]
     fn of_a_job_in_two_batches_the_first_counts_in_whatever_order_they_are_read() {
-        let spec = |loads: u32| {
-            let v = serde_json::json!({"uid": "job-1", "duty": "d", "crew": "c", "shape": "batch",
-                "rank": "high", "loads": loads, "cores": 1.0, "gpus": 0.0, "ram_gb": 1.0,
-                "kit": "k", "size_gb": 1.0, "together": false, "apart": false,
-                "lendables": true, "run_guess_s": 1.0, "mark_every_s": 0.0, "mark_cost_s": 0.0});
-            BatchRec { at: 5, jobs: vec![serde_json::from_value(v).expect("a submission")] }
-        };
         let end = EndRec { at: 5, stage: Stage::Done, loads: 3, done: 3 };
         let all = [
-            (batch_key("a"), raw(&spec(3)), 4),
-            (batch_key("b"), raw(&spec(7)), 6),
+            (batch_key("a"), raw(&spec("job-1", 3)), 4),
+            (batch_key("b"), raw(&spec("job-1", 7)), 6),
             (end_key("job-1"), raw(&end), 9),
         ];
         for order in [[0, 1, 2], [1, 0, 2], [2, 1, 0], [2, 0, 1]] {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -196,10 +196,9 @@
         let mut bytes = 0;
         for p in std::mem::take(&mut self.gathering) {
             // A condition a job and one a value.
-            let fits = jobs.len() + max_ops < txn * 4
+            let fits = jobs.len() + max_ops < (txn * 4).min(1 << c::ARRIVAL_BITS)
                 && bytes + p.bytes <= c::COMMIT_BYTES - c::COMMIT_FRAME_BYTES;
-            let most = 1 << c::ARRIVAL_BITS;
-            let value = values.iter().position(|(n, v)| n + p.bytes <= cap && v.len() < most);
+            let value = values.iter().position(|(n, _)| n + p.bytes <= cap);
             match value {
                 Some(i) if fits => {
                     values[i].0 += p.bytes;
@@ -224,11 +223,14 @@
         for p in &jobs {
             commit.conditions.push(If { key: end_key(&p.spec.uid), stamp: 0 });
         }
+        let mut first = 0;
         for (_, jobs) in values {
             self.batches_made += 1;
             let key = batch_key(&format!("{:016x}-{}", self.incarnation, self.batches_made));
             commit.conditions.push(If { key: key.clone(), stamp: 0 });
-            commit.writes.push(Write::put(key, &BatchRec { at: self.now.wall, jobs }));
+            let n = jobs.len() as u64;
+            commit.writes.push(Write::put(key, &BatchRec { at: self.now.wall, first, jobs }));
+            first += n;
         }
         let n = commit.writes.len();
         self.writes.take(n as f64, f64::MIN, now);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -74,6 +74,35 @@
     s.to_string()
 }
 
+#[test]
+fn many_jobs_submitted_together_are_accepted_with_few_writes_and_all_run() {
+    let mut w = settled();
+    let before = w.state.changes;
+    let asked: Vec<u64> = (1..=40)
+        .map(|n| {
+            let s = w.spec(n, "batch", 1);
+            w.submit(s, 300, n as usize % 3)
+        })
+        .collect();
+    w.until(1_500, "all accepted", |w| asked.iter().all(|r| w.status(*r) == 201));
+    let batches = w.state.changes - before;
+    assert!(batches < 40, "far fewer changes than one a job and its start: {batches}");
+    for n in 1..=40 {
+        w.until_done(&format!("job-{n:06}"), 60_000);
+    }
+}
+
+#[test]
+fn a_store_of_another_layout_is_left_alone() {
+    let mut w = World::new(1);
+    w.state.put("mg/job/job-000007", json!({"at": 1, "stage": "live", "loads": 1}));
+    w.run(15_000);
+    assert!(w.leader().is_none(), "nobody leads on keys that it can't read");
+    let r = w.poll("job-000007", 0);
+    w.run(300);
+    assert_eq!(w.status(r), 503, "not unknown: unreadable");
+}
+
 #[test]
 fn an_accepted_job_outlives_all_controllers() {
     let mut w = settled();
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -75,6 +75,8 @@
 pub struct State {
     keys: BTreeMap<String, Entry>,
     pub rev: u64,
+    /// Puts and deletes carried out.
+    pub changes: usize,
     log: Vec<(u64, String, Option<Value>)>,
     holds: BTreeMap<u64, (u64, u64)>,
     next_hold: u64,
@@ -90,6 +92,13 @@
 }
 
 impl State {
+    /// Puts a key there behind the controllers' backs.
+    pub fn put(&mut self, key: &str, data: Value) {
+        self.rev += 1;
+        self.keys.insert(key.into(), Entry { data: data.clone(), stamp: self.rev, hold: None });
+        self.log.push((self.rev, key.into(), Some(data)));
+    }
+
     pub fn get(&self, key: &str) -> Option<&Value> {
         self.keys.get(key).map(|e| &e.data)
     }
@@ -131,6 +140,7 @@
             }
         }
         self.rev += 1;
+        self.changes += writes.len();
         let rev = self.rev;
         for w in writes {
             if let Some(key) = w["write"].as_str() {
@@ -568,7 +578,7 @@
         for i in 0..self.nodes.len() {
             self.node_step(i);
         }
-        if self.now % 100 == 0 {
+        if self.now.is_multiple_of(100) {
             self.check();
         }
     }
