A settled attempt is settled once; machines that hear no answer are found out and replaced

Settling now names the attempt.

Also: reports that show signs that no answer reaches the machine (starts and tokens without effect, sessions lost in spite of answers) make it deaf: no new work, what was never shown there starts elsewhere, replaced when it lasts, used again when it heals. Nothing goes to a machine before it has shown our token, so late copies of reports bring no ghost into the fleet. The random story learned deaf machines, late copies, and controllers left with nothing but workers, and asks for every accepted job at every controller in the end.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -114,6 +114,12 @@
     pub recall_at: Option<u64>,
     /// Its lease has run out and its tasks are settled, until it reports again.
     pub lapsed: bool,
+    /// Signs in a row that our answers do not reach it.
+    pub unheeded: u32,
+    /// When the last such sign was seen.
+    pub unheeded_at: u64,
+    /// Since when it is held for deaf: it reports, but what we answer has no effect.
+    pub deaf_since: Option<u64>,
     pub placements: BTreeMap<TaskId, Placement>,
     /// Images it holds, newest last, with their size.
     pub kits: Vec<(String, f64)>,
@@ -153,6 +159,9 @@
             answered_at: None,
             recall_at: None,
             lapsed: false,
+            unheeded: 0,
+            unheeded_at: 0,
+            deaf_since: None,
             placements: BTreeMap::new(),
             kits: Vec::new(),
             proposed: 0,
@@ -165,6 +174,25 @@
         }
     }
 
+    /// Takes note of signs that our answers do not reach it (`signs`), or of one that they do.
+    /// Enough signs in a row make it deaf; being heeded, or no more signs for `calm_ms`, ends
+    /// that. Tells whether it has fallen deaf just now.
+    pub fn note_heed(&mut self, signs: u32, heeded: bool, now: u64, calm_ms: u64) -> bool {
+        let calm = self.unheeded > 0 && now > self.unheeded_at + calm_ms;
+        if heeded || (signs == 0 && calm) {
+            self.unheeded = 0;
+            self.deaf_since = None;
+        } else if signs > 0 {
+            self.unheeded += signs;
+            self.unheeded_at = now;
+            if self.unheeded >= c::DEAF_SIGNS && self.deaf_since.is_none() {
+                self.deaf_since = Some(now);
+                return true;
+            }
+        }
+        false
+    }
+
     /// Remembers that it holds an image, and forgets the oldest beyond what fits.
     pub fn note_kit(&mut self, kit: &str, gb: f64, room_gb: f64) {
         if self.kits.last().is_some_and(|(k, _)| k == kit) {
@@ -587,19 +615,39 @@
 
     /// A settlement is committed: the placement is taken out and the task, unless it is
     /// done or not wanted any more, waits again.
-    pub fn settled(&mut self, machine: &Name, id: &TaskId) {
-        if let Some(m) = self.machines.get_mut(machine) {
-            m.placements.remove(id);
+    ///
+    /// Only the attempt that was settled: its task may have been placed again since, even on
+    /// the same machine. Settling one attempt twice once let a task wait that was placed.
+    pub fn settled(&mut self, machine: &Name, id: &TaskId, attempt: u64) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        let over = |p: &Placement| p.attempt == attempt && p.ended.is_some();
+        if !m.placements.get(id).is_some_and(over) {
+            return;
         }
+        m.placements.remove(id);
         if let Some(job) = self.jobs.get_mut(&id.0) {
-            job.settling.remove(&id.1);
-            if job.stage == Stage::Live && !job.done.get(id.1) {
+            let waits = job.settling.remove(&id.1) && !job.placed.contains_key(&id.1);
+            if waits && job.stage == Stage::Live && !job.done.get(id.1) {
                 job.returned.insert(id.1);
             }
         }
         self.drop_if_over(&id.0);
     }
 
+    /// Takes out placements that ended without ever being in the store.
+    pub fn settle_loose(&mut self) -> bool {
+        let loose = std::mem::take(&mut self.loose);
+        let any = !loose.is_empty();
+        for (machine, id) in loose {
+            let held = self.machines.get(&machine).and_then(|m| m.placements.get(&id));
+            // Stored meanwhile: it is taken out of its group first.
+            if let Some(attempt) = held.filter(|p| p.group.is_none()).map(|p| p.attempt) {
+                self.settled(&machine, &id, attempt);
+            }
+        }
+        any
+    }
+
     /// Settles all placements of a machine: they are surely gone.
     pub fn settle_all(&mut self, machine: &Name) {
         let ids: Vec<TaskId> = self
@@ -647,3 +695,41 @@
         self.jobs.get(uid).and_then(|j| j.spec.as_ref()).is_some_and(|s| s.shape == Shape::Standing)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::state::raw;
+
+    #[test]
+    fn a_placement_settled_while_its_commit_is_under_way_is_settled_once() {
+        // Once as never stored and once more when its group gave it up, its task came to wait
+        // while it was placed anew, and ran twice.
+        let mut r = Replica::default();
+        let v = serde_json::json!({"uid": "job-1", "duty": "d", "crew": "c", "shape": "batch",
+            "rank": "high", "loads": 1, "cores": 1.0, "gpus": 0.0, "ram_gb": 1.0, "kit": "k",
+            "size_gb": 1.0, "together": false, "apart": false, "lendables": true,
+            "run_guess_s": 1.0, "mark_every_s": 0.0, "mark_cost_s": 0.0});
+        let jobs = vec![serde_json::from_value(v).expect("a submission")];
+        r.write(&batch_key("a"), &raw(&BatchRec { at: 1, first: 0, jobs }), 3);
+        let mut b = Books::from_replica(&r, 0);
+        let (uid, a, z): (Name, Name, Name) = ("job-1".into(), "n-a".into(), "n-z".into());
+        b.machine_entry(&a, 0);
+        b.machine_entry(&z, 0);
+        let id = (uid.clone(), 0);
+        b.propose(&uid, 0, &a, 7, 0);
+        b.proposals.clear();
+        b.settle(&a, &id, Cause::Lost);
+        let key = (id.clone(), 7);
+        b.groups.entry(0).or_default().tasks.insert(key.clone(), (a.clone(), 20));
+        b.committed(&a, &id, 7, 0);
+        b.settle_loose();
+        assert_eq!(b.jobs[&uid].next_waiting(), None, "its group still names it");
+        assert!(b.groups[&0].leaving.contains(&key));
+        b.settled(&a, &id, 7);
+        assert_eq!(b.jobs[&uid].next_waiting(), Some(0));
+        b.propose(&uid, 0, &z, 8, 0);
+        b.settled(&a, &id, 7);
+        assert_eq!(b.jobs[&uid].next_waiting(), None, "it is placed");
+    }
+}
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -181,6 +181,15 @@
 /// Report periods of silence after which a machine gets no new tasks.
 pub const SILENT_PERIODS: f64 = 2.2;
 
+/// Signs in a row that our answers do not reach a machine, after which it is held for deaf: one
+/// may be a copy of an old report or an answer that came too late.
+pub const DEAF_SIGNS: u32 = 3;
+/// Signs that a session which ended in spite of a recent answer counts for.
+pub const DEAF_SESSION_SIGNS: u32 = 2;
+/// Leases without a further sign after which a machine is no longer held for deaf: one that
+/// no answer reaches begins a new session with every lease.
+pub const DEAF_CALM_LEASES: f64 = 1.3;
+
 /// Seconds of `wind_down_s` beyond a task's `mark_cost_s`: a machine may be slow.
 pub const WIND_DOWN_EXTRA_S: f64 = 1.0;
 
--- a/src/coordination/commits.rs
+++ b/src/coordination/commits.rs
@@ -66,8 +66,7 @@
             return;
         }
         // What was never stored needs no commit to be over.
-        for (machine, id) in std::mem::take(&mut l.books.loose) {
-            l.books.settled(&machine, &id);
+        if l.books.settle_loose() {
             l.plan_soon(now);
         }
         let batch = now >= l.done_at;
@@ -339,7 +338,7 @@
                     g.bytes -= bytes;
                 }
             }
-            l.books.settled(&e.machine, &e.id);
+            l.books.settled(&e.machine, &e.id, e.attempt);
         }
         for e in &f.adds {
             let g = l.books.groups.entry(e.group).or_default();
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -514,6 +514,14 @@
             let wait = c::SILENT_DELETE_MS + (self.cfg.params.workers.lease_s * c::MS_PER_S) as u64;
             let unheard = m.life == Life::Unheard && now > m.known_at + wait;
             let doubtful = silent.contains(&m.name);
+            // What nobody can order about any more is replaced: with tasks on it once its lease
+            // must be over, so that they start elsewhere.
+            let patience = match empty {
+                true => c::SILENT_DELETE_MS,
+                false => (self.cfg.params.workers.lease_s * c::MS_PER_S) as u64,
+            };
+            let deaf = m.life == Life::Up && m.deaf_since.is_some_and(|t| now > t + patience);
+            let doubtful = doubtful || deaf;
             if back || mute || unheard || doubtful {
                 names.push(m.name.clone());
             }
@@ -903,7 +911,12 @@
 }
 
 fn usable(m: &Machine) -> bool {
-    m.life == Life::Up && !m.draining && !m.closing && !m.lapsed && m.recall_at.is_none()
+    m.life == Life::Up
+        && !m.draining
+        && !m.closing
+        && !m.lapsed
+        && m.deaf_since.is_none()
+        && m.recall_at.is_none()
 }
 
 fn total(b: &Build) -> Resources {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -422,6 +422,10 @@
                 && !m.draining
                 && !m.closing
                 && !m.lapsed
+                // Nothing goes to a machine before it has shown our token: what reports may be
+                // a late copy of one that is gone, or a machine that hears nobody.
+                && m.shows_baton
+                && m.deaf_since.is_none()
                 && m.reported_at.is_some_and(|t| now - t <= silent);
             if !open {
                 continue;
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -988,6 +988,28 @@
         assert_eq!(plan(&s).places, vec![(1, 0)]);
     }
 
+    #[test]
+    fn the_largest_that_is_late_is_not_passed_over_for_ever() {
+        // A wide job that can't be in time any more, behind a stream of jobs that can, and of
+        // jobs of a higher rank.
+        let mut late = job(1, 1, 60_000);
+        late.waiting = 100;
+        late.missed = 2;
+        let mut higher = job(2, 1, 60_000);
+        higher.rank = Rank::High;
+        higher.waiting = 100;
+        let mut s = snapshot(vec![machine(8)], vec![late, higher, job(3, 1, 1_000)]);
+        assert!(plan(&s).places.iter().all(|(j, _)| *j != 0), "late, and lower");
+        s.jobs[0].waited_ms = c::AGED_MS;
+        let places = plan(&s).places;
+        let of = |j: usize| places.iter().filter(|(k, _)| *k == j).count();
+        assert_eq!((of(0), of(1)), (2, 6), "a part of the places, not all of them");
+        s.jobs[0].begun = true;
+        assert!(plan(&s).places.iter().all(|(j, _)| *j != 0), "it has begun");
+        s.jobs[0].waited_ms = c::AGED_LATE_MS;
+        assert!(plan(&s).places.iter().any(|(j, _)| *j == 0), "and goes on after a while");
+    }
+
     #[test]
     fn shares_grow_for_the_head_by_what_others_leave_unused() {
         let mut s = snapshot(vec![machine(10)], vec![job(1, 3, 1_000)]);
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -77,6 +77,7 @@
         let ours = report.baton == l.term;
         let m = l.books.machine_entry(&name, now);
         let id = (report.tenure, report.tally);
+        let (before, answered) = (m.newest, m.answered_at);
         if id <= m.newest {
             // Late or repeated: the worker has given it up.
             return self.elsewhere(conn);
@@ -99,9 +100,23 @@
             log::info!("{name}: up, {} in {}{}", m.sku, m.yard, if m.spot { ", spot" } else { "" });
         }
         m.up_at.get_or_insert(now);
-        m.reported_at = Some(now);
+        // A report that does not show our token though we answered one before may be a late copy
+        // of one from before our term: such must not hide that a machine is silent.
+        if ours || answered.is_none() {
+            m.reported_at = Some(now);
+        }
         m.lapsed = false;
+        // Its first report with our token shows that an answer has reached it.
+        let heeded = ours && !m.shows_baton;
         m.shows_baton |= ours;
+        let lease = self.cfg.params.workers.lease_s * c::MS_PER_S;
+        let session_lost =
+            report.tenure > before.0 && answered.is_some_and(|t| now < t + (lease / 2.0) as u64);
+        let mut signs = u32::from(!ours && answered.is_some());
+        if session_lost {
+            // A worker that an answer reaches keeps its session.
+            signs += c::DEAF_SESSION_SIGNS;
+        }
         let recalled = m.recall_at.is_some();
         m.recall_at = report.recall_s.map(|s| now + (s.max(0.0) * c::MS_PER_S) as u64);
         if m.recall_at.is_some() && !recalled {
@@ -129,6 +144,8 @@
         // What we know of, against what is shown.
         let mut settled: Vec<(TaskId, Cause)> = Vec::new();
         let mut running: Vec<(TaskId, u64)> = Vec::new();
+        let mut unheeded_start = false;
+        let mut heeded_start = false;
         for (task, p) in &mut m.placements {
             if p.ended.is_some() {
                 continue;
@@ -139,6 +156,7 @@
                 }
                 Some(load) if !is_on(load.status) => {}
                 Some(load) => {
+                    heeded_start |= ours && p.seen.is_none() && p.ordered.is_some();
                     p.seen = Some(load.status);
                     if load.status != TaskStatus::Pulling && p.running_since.is_none() {
                         p.running_since = Some(now);
@@ -152,7 +170,18 @@
                 None if p.halt.is_some() && p.ordered.is_none_or(|o| id > o) => {
                     settled.push((task.clone(), Cause::Lost))
                 }
-                None => {}
+                None => unheeded_start |= p.ordered.is_some_and(|o| id > o),
+            }
+        }
+        signs += u32::from(unheeded_start);
+        let calm = (lease * c::DEAF_CALM_LEASES) as u64;
+        if m.note_heed(signs, heeded || heeded_start, now, calm) {
+            log::info!("{name}: reports, but no answer seems to reach it");
+        }
+        if m.deaf_since.is_some() {
+            // What was never shown there is settled by its next report and starts elsewhere.
+            for p in m.placements.values_mut().filter(|p| p.seen.is_none()) {
+                p.halt.get_or_insert(Halt::MakeRoom);
             }
         }
         for ((job, task), placed_at) in running {
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -12,10 +12,13 @@
 /// Seeds that once went wrong: 725, placements committed on a machine found gone meanwhile.
 const FOUND: [u64; 1] = [725];
 const TROUBLED_MS: u64 = 90_000;
+/// Milliseconds after the last trouble by which a question about a job is answered: users hold
+/// it for forgotten after 75 s.
+const FORGOTTEN_MS: u64 = 5_000;
 
 fn trouble(w: &mut World) {
     let i = w.rng.random_range(0..3);
-    match w.rng.random_range(0..17) {
+    match w.rng.random_range(0..20) {
         0 => {
             let back = if w.rng.random_bool(0.3) { 100 } else { w.rng.random_range(500..8_000) };
             w.crash(i, back);
@@ -42,6 +45,16 @@
         9 => w.state.lost_answers = if w.state.lost_answers > 0.0 { 0.0 } else { 0.2 },
         10 => w.late_reports = if w.late_reports > 0.0 { 0.0 } else { 0.2 },
         11 => w.cloud.down ^= true,
+        // Only its workers are left to it.
+        17 => {
+            let cut = !(w.nodes[i].cut_state && w.nodes[i].cut_peers);
+            w.nodes[i].cut_state = cut;
+            w.nodes[i].cut_peers = cut;
+        }
+        18 => {
+            w.copies = if w.copies > 0.0 { 0.0 } else { 0.2 };
+            w.copies_ms = w.rng.random_range(3_000..LEASE_MS * 4);
+        }
         // Beyond the wait for an answer: rentals and deletions are carried out late.
         16 => w.cloud.slow_ms = if w.cloud.slow_ms > 0 { 0 } else { 7_000 },
         k => {
@@ -55,6 +68,7 @@
             match k {
                 12 => w.workers.get_mut(&name).unwrap().cut ^= true,
                 13 => w.workers.get_mut(&name).unwrap().sick ^= true,
+                19 => w.workers.get_mut(&name).unwrap().deaf ^= true,
                 14 => w.kill_machine(&name),
                 _ => w.workers.get_mut(&name).unwrap().recall_at = Some(now + 6_000),
             }
@@ -75,11 +89,14 @@
     w.state.late_commits = 0.0;
     w.state.lost_answers = 0.0;
     w.late_reports = 0.0;
+    // Copies on their way still come.
+    w.copies = 0.0;
     w.cloud.down = false;
     w.cloud.slow_ms = 0;
     for x in w.workers.values_mut() {
         x.cut = false;
         x.sick = false;
+        x.deaf = false;
     }
 }
 
@@ -139,6 +156,18 @@
     // Longer than a crashed controller takes to come back.
     w.run(10_000);
     let uids: Vec<String> = w.jobs.keys().cloned().collect();
+    // Every job that was accepted stays known, each one, to every controller.
+    for uid in &uids {
+        if w.jobs[uid].accepted_at.is_none() {
+            continue;
+        }
+        let asked: Vec<u64> = (0..3).map(|i| w.poll(uid, i)).collect();
+        let limit = w.now + FORGOTTEN_MS;
+        while !asked.iter().all(|r| w.status(*r) == 200) {
+            assert!(w.now < limit, "seed {seed}: {uid} is forgotten: {}", w.view());
+            w.run(100);
+        }
+    }
     for uid in &uids {
         if w.jobs[uid].spec["shape"] == "standing" {
             // Its user may not have heard that it was accepted.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -187,6 +187,100 @@
     }
 }
 
+#[test]
+fn a_machine_that_hears_no_answer_is_found_out_replaced_and_used_again_when_it_heals() {
+    let mut w = with_service(3);
+    let name = w.workers.iter().find(|(_, x)| !x.running().is_empty()).expect("one").0.clone();
+    w.workers.get_mut(&name).unwrap().deaf = true;
+    // Its tasks end with its lease and start elsewhere; starts that never arrive there do not
+    // hold tasks for ever.
+    w.run(LEASE_MS + 20_000);
+    let s = w.spec(2, "batch", 6);
+    w.submit(s, 2_000, 0);
+    w.until_done("job-000002", 60_000);
+    let on: usize = w.workers.values().filter(|x| !x.deaf).map(|x| x.running().len()).sum();
+    assert_eq!(on, 3, "the service runs elsewhere: {}", w.view());
+    // A short time of it does not cost a machine.
+    let other = w.workers.iter().find(|(n, x)| **n != name && !x.dead).expect("one").0.clone();
+    w.workers.get_mut(&other).unwrap().deaf = true;
+    w.run(5_000);
+    w.workers.get_mut(&other).unwrap().deaf = false;
+    w.run(LEASE_MS * 2);
+    assert!(!w.is_returned(&other), "healed in time: {}", w.view());
+}
+
+#[test]
+fn a_machine_that_hears_no_answer_across_a_change_of_leader_is_replaced() {
+    let mut w = with_service(3);
+    let name = w.workers.iter().find(|(_, x)| !x.running().is_empty()).expect("one").0.clone();
+    w.workers.get_mut(&name).unwrap().deaf = true;
+    w.run(1_000);
+    let old = w.leader().expect("leads");
+    w.crash(old, 3_000);
+    // It shows the old token for ever: nothing it shows settles anything, only its end does.
+    w.run(LEASE_MS * 2 + 40_000);
+    assert!(w.is_returned(&name), "replaced: {}", w.view());
+    let on: usize = w.workers.values().filter(|x| !x.dead).map(|x| x.running().len()).sum();
+    assert_eq!(on, 3, "the service runs elsewhere: {}", w.view());
+}
+
+#[test]
+fn late_copies_of_reports_settle_nothing_and_hide_no_silent_machine() {
+    let mut w = with_service(3);
+    w.copies = 0.7;
+    w.copies_ms = LEASE_MS * 3;
+    w.run(20_000);
+    let name = w.workers.iter().find(|(_, x)| !x.running().is_empty()).expect("one").0.clone();
+    w.kill_machine(&name);
+    w.run(3_000);
+    // Copies from before its end also reach the next leader, to whom they are all news.
+    let old = w.leader().expect("leads");
+    w.crash(old, 200);
+    w.run(LEASE_MS * 2 + 20_000);
+    let on: usize = w.workers.values().filter(|x| !x.dead).map(|x| x.running().len()).sum();
+    assert_eq!(on, 3, "the service runs on machines that are there: {}", w.view());
+    let s = w.spec(2, "batch", 6);
+    w.submit(s, 2_000, 0);
+    w.until_done("job-000002", 60_000);
+    assert_eq!(w.jobs["job-000002"].starts, 6, "every task started once");
+}
+
+#[test]
+fn a_follower_with_nothing_but_workers_sends_them_on_and_says_that_it_is_not_up() {
+    let mut w = with_service(3);
+    let other = (w.leader().expect("leads") + 1) % 3;
+    w.nodes[other].cut_state = true;
+    w.nodes[other].cut_peers = true;
+    w.run(6_000);
+    let up = w.ask(other, "", "other", "GET", "/up".into(), vec![]);
+    let poll = w.poll("job-000001", other);
+    w.run(1_500);
+    assert_eq!((w.status(up), w.status(poll)), (503, 503));
+    w.run(LEASE_MS * 2);
+    let on: usize = w.workers.values().map(|x| x.running().len()).sum();
+    assert_eq!(on, 3, "no lease ended for it");
+}
+
+#[test]
+fn controllers_back_at_once_in_the_middle_of_elections_lead_and_lose_nothing() {
+    let mut w = with_service(3);
+    w.state.slow_commits = 300;
+    for round in 0..6 {
+        // One ends with its election's commit out, another while it reads the store.
+        w.crash(round % 3, 50);
+        w.run(150);
+        w.crash((round + 1) % 3, 100);
+        w.run(900);
+    }
+    w.state.slow_commits = 0;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    let s = w.spec(2, "batch", 3);
+    w.submit(s, 1_000, 0);
+    w.until_done("job-000002", 30_000);
+    let on: usize = w.workers.values().map(|x| x.running().len()).sum();
+    assert_eq!(on, 3, "the service runs: {}", w.view());
+}
+
 #[test]
 fn tasks_of_a_cut_machine_start_elsewhere_only_after_its_lease() {
     let mut w = with_service(2);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -244,6 +244,8 @@
     pub cut: bool,
     /// Reports are held on the way instead of lost, until then.
     pub held_until: Option<u64>,
+    /// Its reports arrive, but no answer reaches it.
+    pub deaf: bool,
     /// Fails every task that it starts.
     pub sick: bool,
     pub dead: bool,
@@ -325,6 +327,9 @@
     zones: Vec<String>,
     /// Share of reports that come late, after their worker gave up.
     pub late_reports: f64,
+    /// Share of reports of which a copy comes late, by up to so many milliseconds.
+    pub copies: f64,
+    pub copies_ms: u64,
     gpu_max: f64,
 }
 
@@ -364,6 +369,8 @@
             next_request: 1,
             zones: vec!["a".into(), "b".into()],
             late_reports: 0.0,
+            copies: 0.0,
+            copies_ms: LEASE_MS * 3,
             gpu_max: 12.0,
         };
         for _ in 0..3 {
@@ -858,6 +865,7 @@
                 recall_at: None,
                 cut: false,
                 held_until: None,
+                deaf: false,
                 sick: false,
                 dead: false,
             };
@@ -1018,6 +1026,18 @@
             let node = w.node;
             let d = w.held_until.map_or(d, |t| t.saturating_sub(now).max(d));
             if !w.cut {
+                if self.copies > 0.0 && self.rng.random_bool(self.copies) {
+                    // A copy from the network: its answer reaches nobody.
+                    let (late, to) =
+                        (self.rng.random_range(2_000..self.copies_ms), self.rng.random_range(0..3));
+                    let copy = Msg::Report {
+                        worker: name.into(),
+                        request: u64::MAX,
+                        node: to,
+                        body: body.clone(),
+                    };
+                    self.send(late, copy);
+                }
                 self.send(d, Msg::Report { worker: name.into(), request, node, body });
             }
         }
@@ -1053,7 +1073,7 @@
             return;
         };
         let Some((r, sent)) = w.in_flight else { return };
-        if r != request || w.cut || w.dead || w.held_until.is_some_and(|t| now < t) {
+        if r != request || w.cut || w.deaf || w.dead || w.held_until.is_some_and(|t| now < t) {
             return;
         }
         w.in_flight = None;
