--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -321,8 +321,9 @@
         l.books.machines.retain(|_, m| m.life != Life::Gone || !m.placements.is_empty());
     }
 
-    /// Empties the dearest thinly used machine when the others have room for its work and
-    /// for work to come; opens such machines again when that is no longer so.
+    /// Empties the dearest thinly used machines when the others have room for their work and
+    /// for work to come; opens such machines again when that is no longer so. How many at a
+    /// time grows with the fleet.
     fn consolidate(&mut self) {
         let now = self.now.mono;
         let op = self.op.clone();
@@ -335,78 +336,87 @@
             used -= books.free(m);
             used.share_of(&m.total)
         };
-        let open: Vec<&Machine> = books.machines.values().filter(|m| usable(m)).collect();
-        let free: f64 = open.iter().map(|m| 1.0 - load(m)).sum();
-        let busy: f64 = open.iter().map(|m| load(m)).sum();
-        let batch_now: f64 = open.iter().map(|m| load(m) * (1.0 - standing_share(books, m))).sum();
+        let open: Vec<(&Machine, f64)> =
+            books.machines.values().filter(|m| usable(m)).map(|m| (m, load(m))).collect();
+        let mut free: f64 = open.iter().map(|(_, share)| 1.0 - share).sum();
+        let busy: f64 = open.iter().map(|(_, share)| share).sum();
+        let batch_now: f64 =
+            open.iter().map(|(m, share)| share * (1.0 - standing_share(books, m))).sum();
         // What comes at the usual rate may be more than what runs at this moment.
         let lull = (l.batch_machines(now) - batch_now).max(0.0);
         let headroom = (busy + lull) * op.headroom_share + lull + c::HEADROOM_MACHINES;
         let early = now < l.began + c::ARRIVAL_WINDOW_MS / 2;
         let short = !l.fleet.unmet.is_empty() || free < headroom || early;
+        let most = ((open.len() as f64 * c::CLOSE_SHARE) as usize).max(1);
         if short {
             l.fleet.roomy_since = None;
-            // The fullest first: it has the most work that need not move.
-            let again = books
+            // The fullest first: they have the most work that need not move.
+            let mut again: Vec<(f64, Name)> = books
                 .machines
                 .values()
                 .filter(|m| m.closing && m.life == Life::Up && !m.draining)
-                .max_by(|a, b| load(a).total_cmp(&load(b)))
-                .map(|m| m.name.clone());
-            if let Some(m) = again.and_then(|n| l.books.machines.get_mut(&n)) {
-                log::debug!("{}: opened again", m.name);
-                m.closing = false;
-                l.plan_soon(now);
+                .map(|m| (load(m), m.name.clone()))
+                .collect();
+            again.sort_by(|a, b| b.0.total_cmp(&a.0));
+            for (_, name) in again.into_iter().take(most) {
+                if let Some(m) = l.books.machines.get_mut(&name) {
+                    log::debug!("{name}: opened again");
+                    m.closing = false;
+                    l.plan_soon(now);
+                }
             }
             return;
         }
-        let ordinary_free = |except: &Name| -> f64 {
-            let Some((need, _)) = &spare else { return f64::MAX };
-            let mut n = 0.0;
-            for m in open.iter().filter(|m| !m.spot && m.name != *except) {
-                n += books.room_for_services(m).times(need) as f64;
-            }
-            n
-        };
-        let services = |m: &Machine| {
-            m.placements
-                .iter()
-                .filter(|((uid, _), p)| p.ended.is_none() && books.is_standing(uid))
-                .count() as f64
+        let room = |m: &Machine| match &spare {
+            Some((need, _)) if !m.spot => books.room_for_services(m).times(need) as f64,
+            _ => 0.0,
         };
-        let candidate = open
+        let mut ordinary_free: f64 = open.iter().map(|(m, _)| room(m)).sum();
+        let want = spare.as_ref().map_or(0.0, |(_, w)| *w);
+        let mut candidates: Vec<(&Machine, f64, f64)> = open
             .iter()
-            .filter(|m| {
-                let share = load(m);
-                let thin = services(m) == 0.0 || share <= c::THIN_SHARE;
-                let others = free - (1.0 - share);
-                let old = m.up_at.is_some_and(|t| now > t + ready_ms(&catalog, &m.sku));
-                let want = spare.as_ref().map_or(0.0, |(_, w)| *w);
-                let room = m.spot || ordinary_free(&m.name) >= want + services(m);
-                thin && old && room && others >= share + headroom
-            })
-            .min_by(|a, b| {
-                // The dearest kind first, then the emptiest.
-                a.spot.cmp(&b.spot).then(load(a).total_cmp(&load(b)))
+            .map(|(m, share)| (*m, *share, services(books, m)))
+            .filter(|(m, share, services)| {
+                let thin = *services == 0.0 || *share <= c::THIN_SHARE;
+                thin && m.up_at.is_some_and(|t| now > t + ready_ms(&catalog, &m.sku))
             })
-            .map(|m| m.name.clone());
-        let Some(name) = candidate else {
+            .collect();
+        // The dearest kind first, then those with the least to move, then the emptiest.
+        candidates.sort_by(|a, b| {
+            a.0.spot.cmp(&b.0.spot).then(a.2.total_cmp(&b.2)).then(a.1.total_cmp(&b.1))
+        });
+        let mut chosen = Vec::new();
+        for (m, _, services) in candidates {
+            if chosen.len() >= most || free - 1.0 < headroom {
+                break;
+            }
+            // Its room is gone, and what it holds takes room elsewhere.
+            let left = ordinary_free - room(m) - services;
+            if m.spot || spare.is_none() || left >= want {
+                ordinary_free = left;
+                free -= 1.0;
+                chosen.push(m.name.clone());
+            }
+        }
+        if chosen.is_empty() {
             l.fleet.roomy_since = None;
             return;
-        };
+        }
         let since = *l.fleet.roomy_since.get_or_insert(now);
         if now < since + c::ROOMY_MS {
             return;
         }
         l.fleet.roomy_since = None;
-        if let Some(m) = l.books.machines.get_mut(&name) {
-            log::debug!("{name}: closing, the others have room for its work");
-            m.closing = true;
+        log::debug!("closes {}, the others have room for their work", chosen.join(", "));
+        for name in chosen {
+            if let Some(m) = l.books.machines.get_mut(&name) {
+                m.closing = true;
+            }
         }
     }
 
-    /// Moves services off machines that are being emptied, one at a time, to where their
-    /// image is.
+    /// Moves services off machines that are being emptied to where their image is, a few at a
+    /// time, those first that leave their machine soonest empty.
     fn move_services(&mut self) {
         let now = self.now.mono;
         let Some(l) = self.leader.as_mut() else { return };
@@ -414,34 +424,55 @@
             return;
         }
         let books = &l.books;
-        let mut chosen = None;
-        for m in books.machines.values().filter(|m| m.closing && m.life == Life::Up) {
-            for (id, p) in &m.placements {
-                let Some(job) = books.jobs.get(&id.0) else { continue };
-                let Some(spec) = job.spec.as_ref().filter(|s| s.shape == Shape::Standing) else {
-                    continue;
-                };
-                if p.ended.is_some() || p.halt.is_some() || p.running_since.is_none() {
-                    continue;
-                }
-                let target = books.machines.values().any(|t| {
-                    usable(t)
-                        && t.yard == m.yard
-                        && (!t.spot || spec.lendables)
-                        && t.sku == m.sku
-                        && t.kits.iter().any(|(k, _)| *k == spec.kit)
-                        && books.free(t).fits(&job.need)
-                });
-                if target {
-                    chosen = Some((m.name.clone(), id.clone()));
-                }
+        let mut from: Vec<(f64, &Machine)> = books
+            .machines
+            .values()
+            .filter(|m| m.closing && m.life == Life::Up)
+            .map(|m| (services(books, m), m))
+            .filter(|(n, _)| *n > 0.0)
+            .collect();
+        if from.is_empty() {
+            return;
+        }
+        from.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let most = ((books.machines.len() as f64 * c::MOVE_SHARE) as usize).max(1);
+        let mut targets: Vec<(&Machine, Resources)> =
+            books.machines.values().filter(|t| usable(t)).map(|t| (t, books.free(t))).collect();
+        let mut chosen = Vec::new();
+        for (m, (id, p)) in from.iter().flat_map(|(_, m)| m.placements.iter().map(move |x| (m, x)))
+        {
+            if chosen.len() >= most {
+                break;
+            }
+            let Some(job) = books.jobs.get(&id.0) else { continue };
+            let Some(spec) = job.spec.as_ref().filter(|s| s.shape == Shape::Standing) else {
+                continue;
+            };
+            if p.ended.is_some() || p.halt.is_some() || p.running_since.is_none() {
+                continue;
+            }
+            let target = targets.iter_mut().find(|(t, free)| {
+                t.yard == m.yard
+                    && (!t.spot || spec.lendables)
+                    && t.sku == m.sku
+                    && t.kits.iter().any(|(k, _)| *k == spec.kit)
+                    && free.fits(&job.need)
+            });
+            if let Some((_, free)) = target {
+                *free -= job.need;
+                chosen.push((m.name.clone(), id.clone()));
             }
         }
-        let Some((name, id)) = chosen else { return };
+        if chosen.is_empty() {
+            return;
+        }
         l.fleet.move_at = now + c::MOVE_GAP_MS;
-        if let Some(p) = l.books.machines.get_mut(&name).and_then(|m| m.placements.get_mut(&id)) {
-            log::debug!("{}/{}: moves off {name}", id.0, id.1);
-            p.halt = Some(Halt::MakeRoom);
+        for (name, id) in chosen {
+            if let Some(p) = l.books.machines.get_mut(&name).and_then(|m| m.placements.get_mut(&id))
+            {
+                log::debug!("{}/{}: moves off {name}", id.0, id.1);
+                p.halt = Some(Halt::MakeRoom);
+            }
         }
     }
 
@@ -891,6 +922,12 @@
     }
 }
 
+/// Tasks of services on a machine.
+fn services(books: &Books, m: &Machine) -> f64 {
+    let on = |((uid, _), p): &(&TaskId, &Placement)| p.ended.is_none() && books.is_standing(uid);
+    m.placements.iter().filter(on).count() as f64
+}
+
 /// The part of a machine's load that services make up.
 fn standing_share(books: &Books, m: &Machine) -> f64 {
     let (mut standing, mut all) = (0.0, 0.0);
