Tasks for which room is made wait for it; later places are searched without sorting

Room was made where a service's image is, and in the same pass the service went elsewhere, once the claims of a pass were used up. Now the task for which room is made waits for it, and what was stored but never ordered is settled at once when stopped.

--- a/src/bookkeeping/reservation.rs
+++ b/src/bookkeeping/reservation.rs
@@ -28,6 +28,8 @@
     /// Places that waiting tasks count on: start, end, what they take. They hold nothing;
     /// they only tell others that they would not be alone.
     pub claims: Vec<(u64, u64, Resources)>,
+    /// The times at which room may come up, in order: every end of the above.
+    pub times: Vec<u64>,
 }
 
 impl Row {
@@ -62,17 +64,26 @@
     pub fn add(&mut self, b: Bucket) {
         self.free -= b.need;
         self.demand += b.bandwidth;
+        self.note_time(b.end);
         self.buckets.push(b);
     }
 
-    /// The times at which room may come up: now and every end, in order.
-    pub fn starts(&self, now: u64) -> Vec<u64> {
-        let ends = self.buckets.iter().map(|b| b.end).chain(self.claims.iter().map(|c| c.1));
-        let mut v: Vec<u64> = ends.filter(|t| *t > now).collect();
-        v.push(now);
-        v.sort_unstable();
-        v.dedup();
-        v
+    /// Adds a place that a waiting task counts on.
+    pub fn claim(&mut self, start: u64, length: u64, need: Resources) {
+        self.note_time(start + length);
+        self.claims.push((start, start + length, need));
+    }
+
+    /// A task ends at another time than was thought.
+    pub fn end_at(&mut self, bucket: usize, end: u64) {
+        self.note_time(end);
+        self.buckets[bucket].end = end;
+    }
+
+    fn note_time(&mut self, t: u64) {
+        if let Err(i) = self.times.binary_search(&t) {
+            self.times.insert(i, t);
+        }
     }
 
     /// Penalized milliseconds of a task that would run in `[start, start + length]`.
@@ -114,6 +125,8 @@
         assert_eq!(row.penalized_ms(0, 5_000, 1.0), 500.0);
         assert_eq!(row.penalized_ms(1_000, 1_000, 1.0), 0.0);
         assert_eq!(row.free_at(1_000).cpu, 7_000);
-        assert_eq!(row.starts(0), vec![0, 1_000, 3_000]);
+        row.claim(3_000, 500, need);
+        row.end_at(1, 2_000);
+        assert_eq!(row.times, vec![1_000, 2_000, 3_000, 3_500]);
     }
 }
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -252,6 +252,8 @@
 /// Milliseconds a started task is left alone before it may be stopped for others: a
 /// start counts for users when it lasts 30 s.
 pub const PREEMPT_SHIELD_MS: u64 = 30_000;
+/// Milliseconds in which room that is being made is counted on, at the least.
+pub const ROOM_COMING_MS: u64 = 1_000;
 /// Weight of the newest sample in the averages of run times per class.
 pub const AVERAGE_WEIGHT: f64 = 0.1;
 /// First pause in milliseconds of a job whose tasks fail on several machines, doubled each time.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -364,11 +364,15 @@
         }
         for (m, handle) in &plan.halts {
             let id = view.handles[*m][*handle].clone();
-            if let Some(mm) = l.books.machines.get_mut(&view.machines[*m]) {
-                if let Some(p) = mm.placements.get_mut(&id) {
-                    log::debug!("{}/{}: stopped on {} to make room", id.0, id.1, mm.name);
-                    p.halt = p.halt.max(Some(Halt::MakeRoom));
-                }
+            let machine = &view.machines[*m];
+            let held = l.books.machines.get_mut(machine).and_then(|m| m.placements.get_mut(&id));
+            let Some(p) = held else { continue };
+            log::debug!("{}/{}: stopped on {machine} to make room", id.0, id.1);
+            p.halt = p.halt.max(Some(Halt::MakeRoom));
+            // Stored but never ordered by us: it can't be there, so its place is free at once.
+            let ours = p.attempt >> c::ATTEMPT_BITS == l.term;
+            if ours && p.phase == Phase::Committed && p.ordered.is_none() && p.seen.is_none() {
+                l.books.settle(machine, &id, Cause::Lost);
             }
         }
         l.fleet.note_unmet(&view, &plan, &catalog);
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -150,6 +150,56 @@
 /// How much a place is liked among places that are alike, the least first.
 type Taste = (u32, u8, i64, i64, usize);
 
+/// The places that LessConsume Threshold chooses between, one for each threshold.
+struct Search<'a> {
+    thresholds: &'a [f64],
+    under: Vec<Option<(Allocation, Taste)>>,
+    least: Option<(Allocation, Taste)>,
+    first: Option<(Allocation, Taste)>,
+}
+
+impl<'a> Search<'a> {
+    fn new(thresholds: &'a [f64]) -> Search<'a> {
+        Search { thresholds, under: vec![None; thresholds.len()], least: None, first: None }
+    }
+
+    fn see(&mut self, a: Allocation, taste: Taste) {
+        type Key = (u64, f64, Taste);
+        fn keep(
+            slot: &mut Option<(Allocation, Taste)>,
+            a: Allocation,
+            t: Taste,
+            key: fn(&Allocation, Taste) -> Key,
+        ) {
+            let less = |x: Key, y: Key| {
+                x.0.cmp(&y.0).then(x.1.total_cmp(&y.1)).then(x.2.cmp(&y.2)).is_lt()
+            };
+            if slot.as_ref().is_none_or(|(b, u)| less(key(&a, t), key(b, *u))) {
+                *slot = Some((a, t));
+            }
+        }
+        for (slot, _) in self.under.iter_mut().zip(self.thresholds).filter(|(_, t)| a.factor < **t)
+        {
+            keep(slot, a, taste, |a, t| (a.start, a.factor, t));
+        }
+        keep(&mut self.first, a, taste, |a, t| (a.start, 0.0, t));
+        let lower = self.least.as_ref().is_none_or(|(b, t)| {
+            a.factor.total_cmp(&b.factor).then((a.start, taste).cmp(&(b.start, *t))).is_lt()
+        });
+        if lower {
+            self.least = Some((a, taste));
+        }
+    }
+
+    /// The one of least slowdown. First fit itself stands beside the thresholds: with all
+    /// factors high they would only wait.
+    fn best(self) -> Option<Allocation> {
+        let least = self.least;
+        let chosen = self.under.into_iter().filter_map(|u| u.or(least)).chain(self.first);
+        chosen.map(|(a, _)| a).reduce(|b, a| if a.slowdown < b.slowdown { a } else { b })
+    }
+}
+
 struct Pass<'a> {
     s: &'a Snapshot,
     rows: Vec<Row>,
@@ -159,6 +209,8 @@
     kits: Vec<Vec<(usize, u64)>>,
     in_zone: Vec<Vec<u32>>,
     waiting: Vec<u32>,
+    /// Tasks per job for which room is being made: they wait for it.
+    promised: Vec<u32>,
     used: Vec<Resources>,
     /// All machines together.
     total: Resources,
@@ -211,6 +263,7 @@
         kits: s.machines.iter().map(|m| m.kits.clone()).collect(),
         in_zone: s.jobs.iter().map(|j| j.in_zone.clone()).collect(),
         waiting: s.jobs.iter().map(|j| j.waiting).collect(),
+        promised: vec![0; s.jobs.len()],
         used: s.teams.iter().map(|t| t.used).collect(),
         total: all_machines(s),
         held: vec![Resources::default(); s.machines.len()],
@@ -263,8 +316,7 @@
                         self.reserved = Some((a.machine, a.start, self.s.jobs[j].need));
                         self.plan.reservation = Some((j, a.machine, a.start));
                         self.plan.expected[j].push(a.start - self.s.now);
-                        let claim = (a.start, a.start + a.length, self.s.jobs[j].need);
-                        self.rows[a.machine].claims.push(claim);
+                        self.rows[a.machine].claim(a.start, a.length, self.s.jobs[j].need);
                         break;
                     }
                     // At its limit, or no machine for it yet: skipped.
@@ -276,7 +328,8 @@
             }
         }
         self.backfill(&rest);
-        self.plan.unmet = self.waiting.clone();
+        self.plan.unmet =
+            self.waiting.iter().zip(&self.promised).map(|(waiting, n)| waiting + n).collect();
     }
 
     /// Places for a task like the smallest that waits.
@@ -341,7 +394,7 @@
     fn fetch_ms(&self, j: usize, m: usize, start: u64) -> u64 {
         let job = &self.s.jobs[j];
         match self.kits[m].iter().find(|(k, _)| *k == job.kit) {
-            Some((_, in_ms)) => in_ms.saturating_sub(start - self.s.now),
+            Some((_, in_ms)) => in_ms.saturating_sub(start.saturating_sub(self.s.now)),
             None => {
                 // Images fetched at the same time share the rate.
                 let others = self.kits[m].iter().map(|(_, ms)| *ms).max().unwrap_or(0);
@@ -444,68 +497,48 @@
         if !may_wait || least.as_ref().is_some_and(|(a, _)| a.factor < lowest) {
             return least.map(|(a, _)| a);
         }
-        let mut all: Vec<(Allocation, Taste)> = self.later(j, now);
-        if let Some((rj, rm)) = self.s.reserved {
-            if rj == j && all.iter().any(|(a, _)| a.machine == rm) {
-                all.retain(|(a, _)| a.machine == rm);
-            }
+        // For each threshold the earliest place under it, of the least factor at that time; if
+        // there is none, the least factor of all. First fit is the earliest place of all.
+        let mut search = Search::new(&self.s.thresholds);
+        for (a, taste) in first.into_iter().chain(least) {
+            search.see(a, taste);
         }
-        all.extend(first.into_iter().chain(least));
-        // First fit is the earliest start, in the order of taste.
-        all.sort_by(|(a, t), (b, u)| a.start.cmp(&b.start).then(t.cmp(u)));
-        let mut best: Option<Allocation> = None;
-        for threshold in &self.s.thresholds {
-            // Swap less loaded slots in; accept later starts until the factor is under it.
-            let mut chosen: Option<Allocation> = None;
-            for (a, _) in &all {
-                if let Some(c) = &chosen {
-                    if c.factor < *threshold && a.start > c.start {
-                        break;
-                    }
-                }
-                if chosen.is_none_or(|c| a.factor < c.factor) {
-                    chosen = Some(*a);
-                }
-            }
-            if let Some(a) = chosen {
-                if best.is_none_or(|b| a.slowdown < b.slowdown) {
-                    best = Some(a);
-                }
-            }
+        let bound = least.map_or(f64::INFINITY, |(a, _)| a.factor);
+        let mut only = None;
+        if let Some((_, m)) = self.s.reserved.filter(|(rj, _)| *rj == j) {
+            // What is reserved stays where it is, if it can.
+            only = self.later(j, m, bound).next().map(|_| m);
         }
-        // First fit itself stands beside the thresholds: with all factors high they would
-        // only wait.
-        if let Some((a, _)) = all.first() {
-            if best.is_none_or(|b| a.slowdown < b.slowdown) {
-                best = Some(*a);
+        for m in 0..self.s.machines.len() {
+            if only.is_none_or(|x| x == m) {
+                self.later(j, m, bound).for_each(|a| search.see(a, self.taste(j, m)));
             }
         }
-        best
+        search.best()
     }
 
-    /// At each machine the first time after now that there is room, and later ones as long as
-    /// they lower the factor.
-    fn later(&self, j: usize, now: u64) -> Vec<(Allocation, Taste)> {
-        let need = &self.s.jobs[j].need;
-        let mut all = Vec::new();
-        for m in (0..self.s.machines.len()).filter(|m| self.allowed(j, *m)) {
-            let row = &self.rows[m];
-            let mut last = match row.free.fits(need) {
-                true => self.at(j, m, now).map_or(f64::INFINITY, |a| a.factor),
-                false => f64::INFINITY,
-            };
-            for t in row.starts(now) {
-                if last <= 1.0 {
-                    break;
+    /// At a machine the first time after now that there is room, and later ones as long as
+    /// they lower the factor; none whose factor is not under the bound.
+    fn later(&self, j: usize, m: usize, bound: f64) -> impl Iterator<Item = Allocation> + '_ {
+        let now = self.s.now;
+        let run = self.s.jobs[j].run_ms.max(1) as f64;
+        let lowest = (run + self.fetch_ms(j, m, u64::MAX) as f64) / run;
+        let row = &self.rows[m];
+        let mut last = bound;
+        let times = if lowest < bound && self.allowed(j, m) { &row.times[..] } else { &[] };
+        times
+            .iter()
+            .filter(move |t| **t > now)
+            .map_while(move |t| {
+                // Nothing can lower it any further.
+                if last <= lowest {
+                    return None;
                 }
-                let Some(a) = self.at(j, m, t).filter(|a| t > now && a.factor < last) else {
-                    continue;
-                };
-                last = a.factor;
-                all.push((a, self.taste(j, m)));
-            }
-        }
-        all
+                let a = self.at(j, m, *t).filter(|a| a.factor < last);
+                last = a.map_or(last, |a| a.factor);
+                Some(a)
+            })
+            .flatten()
     }
 
     fn place(&mut self, j: usize, a: Allocation) {
@@ -565,7 +598,7 @@
     fn start_now(&mut self, j: usize) -> Option<Allocation> {
         let now = self.s.now;
         let need = self.s.jobs[j].need;
-        while (self.plan.expected[j].len() as u32) < self.waiting[j] {
+        while (self.plan.expected[j].len() as u32) < self.waiting[j] + self.promised[j] {
             // With enough claims worked out, only what can start now is of interest.
             let may_wait = self.claims < c::CLAIMS_PER_PASS;
             let a = self.allocate(j, may_wait)?;
@@ -577,7 +610,7 @@
             }
             self.claims += 1;
             self.plan.expected[j].push(a.start - now);
-            self.rows[a.machine].claims.push((a.start, a.start + a.length, need));
+            self.rows[a.machine].claim(a.start, a.length, need);
         }
         None
     }
@@ -664,21 +697,18 @@
                     }
                 }
                 let Some((_, _, m, victims)) = best else { break };
-                if victims.is_empty() {
-                    if !self.rows[m].free.fits(&job.need) {
-                        self.held[m] += job.need;
-                    }
+                if victims.is_empty() && self.rows[m].free.fits(&job.need) {
                     room[m] -= job.need;
                     used[job.team] = with;
                     continue;
                 }
+                let mut wait = c::ROOM_COMING_MS;
                 for v in victims {
                     let r = &self.s.machines[m].running[v];
                     stopped[m][v] = true;
                     room[m] += r.need;
-                    // Its place is free soon; the table must know, or the task for which it
-                    // is stopped would go elsewhere.
-                    self.rows[m].buckets[v].end = self.s.now + r.halt_ms.max(1);
+                    self.rows[m].end_at(v, self.s.now + r.halt_ms.max(1));
+                    wait = wait.max(r.halt_ms);
                     if let Some(t) = r.team {
                         used[t] -= r.need;
                     }
@@ -687,6 +717,12 @@
                 room[m] -= job.need;
                 self.held[m] += job.need;
                 used[job.team] = with;
+                // The task for which room is made waits for it. Where it went elsewhere in the
+                // same pass all the same, tasks were stopped for nothing, pass after pass.
+                self.promised[j] += 1;
+                self.waiting[j] -= 1;
+                self.plan.expected[j].push(wait);
+                self.rows[m].claim(self.s.now + wait, job.run_ms, job.need);
             }
         }
     }
@@ -981,6 +1017,25 @@
         assert!(plan(&s).halts.is_empty(), "room that is being made counts");
     }
 
+    #[test]
+    fn a_task_for_which_room_is_made_does_not_go_elsewhere_meanwhile() {
+        // Its image is here, under a task of a lower rank; the free machine must fetch it.
+        let mut here = machine(1);
+        here.running = vec![running(90_000)];
+        here.running[0].saves = true;
+        let mut free = machine(1);
+        free.kits = vec![];
+        let mut j = job(1, 1, 30_000);
+        j.rank = Rank::Production;
+        let mut s = snapshot(vec![here, free], vec![j]);
+        let p = plan(&s);
+        assert_eq!((p.halts.len(), p.places.len()), (1, 0), "stopped for it, and it waits");
+        s.machines[0].running[0].halting = true;
+        assert_eq!(plan(&s).places, vec![], "still");
+        s.machines[0].running.clear();
+        assert_eq!(plan(&s).places, vec![(0, 0)]);
+    }
+
     #[test]
     fn a_job_that_can_still_be_in_time_goes_before_one_that_can_not() {
         let mut s = snapshot(vec![machine(1)], vec![job(1, 1, 1_000), job(2, 1, 1_000)]);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -262,8 +262,9 @@
                     self.metrics.accepted += 1;
                     let _ = self.metrics.submit_ms.record(self.now.mono - p.at);
                     log::debug!(
-                        "{}: accepted, {} tasks of {} for {}, {} of {} GB",
+                        "{}: accepted in {} ms, {} tasks of {} for {}, {} of {} GB",
                         p.spec.uid,
+                        self.now.mono - p.at,
                         p.spec.loads,
                         p.spec.duty,
                         p.spec.crew,
