--- a/src/constants.rs
+++ b/src/constants.rs
@@ -334,5 +334,8 @@
 pub const SLOT_EPSILON: f64 = 0.05;
 /// Milliseconds over which arrivals of services are counted.
 pub const ARRIVAL_WINDOW_MS: u64 = 120_000;
+/// Milliseconds over which arrivals of batch work are counted: as long as it pays to keep a
+/// machine for what may come.
+pub const WORK_WINDOW_MS: u64 = 60_000;
 /// Slots kept for services beyond the arrivals expected while a machine boots.
 pub const SPARE_SERVICE_SLOTS: f64 = 1.0;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -901,17 +901,18 @@
         f.arrivals.extend(services);
         f.work.extend(work);
         f.arrivals.retain(|(t, _)| now.mono <= t + c::ARRIVAL_WINDOW_MS);
-        f.work.retain(|(t, _)| now.mono <= t + c::ARRIVAL_WINDOW_MS);
+        f.work.retain(|(t, _)| now.mono <= t + c::WORK_WINDOW_MS);
     }
 
     /// Over how long arrivals have been watched, in milliseconds.
-    fn watched_ms(&self, now: u64) -> f64 {
-        (now - self.began).clamp(c::ARRIVAL_WINDOW_MS / 2, c::ARRIVAL_WINDOW_MS) as f64
+    fn watched_ms(&self, now: u64, window: u64) -> f64 {
+        (now - self.began).clamp(c::ARRIVAL_WINDOW_MS / 2, c::ARRIVAL_WINDOW_MS).min(window) as f64
     }
 
     /// Machines that batch work keeps busy at the rate at which it has been coming.
     fn batch_machines(&self, now: u64) -> f64 {
-        self.fleet.work.iter().map(|(_, w)| w).sum::<f64>() / self.watched_ms(now)
+        let work: f64 = self.fleet.work.iter().map(|(_, w)| w).sum();
+        work / self.watched_ms(now, c::WORK_WINDOW_MS)
     }
 
     /// Room to keep for services: what one of their tasks takes, and how many are expected
@@ -922,7 +923,8 @@
         let need = books.jobs.get(newest)?.need;
         let tasks: u32 = self.fleet.arrivals.iter().map(|(_, n)| n).sum();
         let ready = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max) * c::MS_PER_S;
-        let expected = (f64::from(tasks) / self.watched_ms(now) * ready).ceil();
+        let expected =
+            (f64::from(tasks) / self.watched_ms(now, c::ARRIVAL_WINDOW_MS) * ready).ceil();
         Some((need, expected + c::SPARE_SERVICE_SLOTS))
     }
 }
