--- a/src/constants.rs
+++ b/src/constants.rs
@@ -308,11 +308,11 @@
 /// Milliseconds for which there must be too much room before a machine is emptied.
 pub const ROOMY_MS: u64 = 8_000;
 /// Share of the machines that may be closed, or opened again, at a time.
-pub const CLOSE_SHARE: f64 = 0.03;
+pub const CLOSE_SHARE: f64 = 0.08;
 /// Load up to which a machine with services is emptied by moving them.
 pub const THIN_SHARE: f64 = 0.5;
 /// Services moved at a time, as a share of the machines; one at the least.
-pub const MOVE_SHARE: f64 = 0.005;
+pub const MOVE_SHARE: f64 = 0.01;
 /// Milliseconds between two moves of services: each is a short gap for its users.
 pub const MOVE_GAP_MS: u64 = 3_000;
 /// Milliseconds between two looks at the size of the fleet.
