--- a/src/constants.rs
+++ b/src/constants.rs
@@ -125,6 +125,8 @@
 pub const REPORT_TASK_BYTES: usize = 128;
 /// Groups that are written only to take out what has ended, with each batch of bitmaps.
 pub const CLEAN_GROUPS: usize = 2;
+/// Orders in one answer: at less than these bytes each, its line stays under 64 KiB.
+pub const ORDERS_MAX: usize = 500;
 /// Images remembered for a machine.
 pub const IMAGES_KEPT: usize = 10;
 /// Milliseconds between two writes of the images that machines hold: hints for a new leader.
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -272,7 +272,8 @@
         let mut orders = Vec::new();
         let mut starts = Vec::new();
         let mut never_ordered = Vec::new();
-        for (load, attempt) in h.strays {
+        // What does not fit into an answer goes out with the next one.
+        for (load, attempt) in h.strays.into_iter().take(c::ORDERS_MAX) {
             orders.push(Order::Halt { load, attempt, wind_down_s: 0.0 });
         }
         for (load, attempt) in h.ended {
@@ -280,7 +281,7 @@
             let open = parse_task(&load).is_some_and(|(job, task)| {
                 m.placements.get(&(job.into(), task)).is_some_and(|p| p.attempt == attempt)
             });
-            if !open {
+            if !open && orders.len() < c::ORDERS_MAX {
                 orders.push(Order::Clear { load, attempt });
             }
         }
@@ -288,6 +289,9 @@
             if p.ended.is_some() || p.phase != Phase::Committed {
                 continue;
             }
+            if orders.len() + starts.len() >= c::ORDERS_MAX {
+                break;
+            }
             let job = jobs.get(&id.0);
             let live = job.is_some_and(|j| j.stage == Stage::Live && !j.done.get(id.1));
             let halt = if live { p.halt } else { Some(Halt::Unwanted) };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -104,6 +104,74 @@
     assert_eq!(w.jobs["job-000001"].starts, 3, "every task started once");
 }
 
+#[test]
+fn hundreds_of_tasks_take_several_groups_each_under_the_limit() {
+    let mut w = settled();
+    let mut s = w.spec(1, "batch", 400);
+    s["gpus"] = json!(0.0);
+    s["cores"] = json!(0.05);
+    s["ram_gb"] = json!(0.1);
+    w.submit(s, 20_000, 0);
+    // The world checks every value and every transaction against its limit.
+    w.until(20_000, "several groups", |w| w.state.under("mg/2/place/").len() >= 3);
+    let old = w.leader().expect("leads");
+    w.crash(old, 1_000);
+    w.until_done("job-000001", 120_000);
+    assert_eq!(w.jobs["job-000001"].starts, 400, "every task started once, with two leaders");
+}
+
+#[test]
+fn a_report_of_many_unknown_tasks_is_answered_within_the_limits() {
+    let mut w = settled();
+    let leader = w.leader().expect("leads");
+    let loads: Vec<_> = (0..650)
+        .map(|n| json!({"load": format!("job-{n:06}/7"), "try": 1, "status": "running", "cause": null}))
+        .collect();
+    let report = json!({"stead": "n-900000", "address": "x", "build": "g4", "yard": "a",
+        "lendables": false, "tenure": 1, "tally": 1, "baton": 0, "recall_s": null, "loads": loads});
+    let body = report.to_string().into_bytes();
+    assert!((40_000..65_536).contains(&body.len()), "near the limit: {}", body.len());
+    let r = w.ask(leader, "", "other", "POST", "/checkin".into(), body);
+    w.run(1_000);
+    assert_eq!(w.status(r), 200);
+    let orders = w.answer(r).to_string().len();
+    assert!((1_000..65_536).contains(&orders), "some are halted, the others next time: {orders}");
+}
+
+#[test]
+fn controllers_that_fall_behind_the_store_read_it_anew() {
+    let mut w = with_service(3);
+    w.state.forgot = w.state.rev + 1;
+    w.run(200);
+    w.state.forgot = 0;
+    w.until(15_000, "a leader again", |w| w.leader().is_some());
+    w.run(5_000);
+    let s = w.spec(2, "batch", 3);
+    w.submit(s, 1_000, 0);
+    w.until_done("job-000002", 30_000);
+    let on: usize = w.workers.values().map(|x| x.running().len()).sum();
+    assert_eq!(on, 3, "the service runs: {}", w.view());
+}
+
+#[test]
+fn refused_for_asking_too_often_nothing_stalls_and_nobody_waits_for_an_answer() {
+    let mut w = with_service(3);
+    w.state.busy = true;
+    w.cloud.busy = true;
+    let s = w.spec(2, "batch", 3);
+    let (a, b) = (w.submit(s.clone(), 1_000, 0), w.poll("job-000001", 1));
+    w.run(2_000);
+    assert_eq!((w.status(a), w.status(b)), (503, 503), "answered at once");
+    w.run(1_000);
+    w.state.busy = false;
+    w.cloud.busy = false;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.submit(s, 1_000, 0);
+    w.until_done("job-000002", 30_000);
+    let on: usize = w.workers.values().map(|x| x.running().len()).sum();
+    assert_eq!(on, 3, "the service runs: {}", w.view());
+}
+
 #[test]
 fn a_store_of_another_layout_is_left_alone() {
     let mut w = World::new(1);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -91,6 +91,10 @@
     pub slow_commits: u64,
     /// Milliseconds by which the next submission's commit is late.
     pub slow_once: u64,
+    /// Changes up to this revision are not kept any more.
+    pub forgot: u64,
+    /// Answers 429.
+    pub busy: bool,
 }
 
 impl State {
@@ -206,6 +210,8 @@
     pub boot_ms: u64,
     pub capacity: usize,
     pub down: bool,
+    /// Answers 429.
+    pub busy: bool,
     /// Milliseconds by which it takes longer, also to carry requests out.
     pub slow_ms: u64,
 }
@@ -785,6 +791,8 @@
         let s = &mut self.state;
         let (status, v) = if s.outage || self.nodes[node].refused {
             (503, json!({}))
+        } else if s.busy {
+            (429, json!({}))
         } else if path == "/commit" {
             s.commit(body)
         } else if path == "/holds" {
@@ -811,6 +819,10 @@
         } else if path.starts_with("/changes") {
             let since: u64 = query(path, "since").unwrap().parse().unwrap();
             let block: u64 = query(path, "block_ms").unwrap().parse().unwrap();
+            if since < s.forgot {
+                let d = self.hop();
+                return self.send(d, Msg::Reply { node, life, call, status: 410, body: vec![] });
+            }
             if block > 0 && s.rev <= since {
                 s.watches.push(Watch { node, life, call, since, until: now + block });
                 return;
@@ -883,6 +895,9 @@
         if self.cloud.down {
             return (503, json!({"error": "trouble"}));
         }
+        if self.cloud.busy {
+            return (429, json!({}));
+        }
         let now = self.now;
         let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         match (method, path) {
