--- a/src/constants.rs
+++ b/src/constants.rs
@@ -310,7 +310,10 @@
 /// Milliseconds for which there must be too much room before a machine is emptied.
 pub const ROOMY_MS: u64 = 8_000;
 /// Share of the machines that may be closed, or opened again, at a time.
-pub const CLOSE_SHARE: f64 = 0.08;
+pub const CLOSE_SHARE: f64 = 0.06;
+/// Machines' worth of tasks without a place, as a share of the machines, beyond which none is
+/// closed: in a small fleet any such task, in a large one not just a few.
+pub const UNMET_SHARE: f64 = 0.002;
 /// Load up to which a machine with services is emptied by moving them.
 pub const THIN_SHARE: f64 = 0.5;
 /// Services moved at a time, as a share of the machines; one at the least.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -350,8 +350,8 @@
         // not keep hundreds of machines open.
         let whole = open.first().map_or(Resources::default(), |(m, _)| m.total);
         let unmet: f64 = l.fleet.unmet.iter().map(|u| u.slots * u.need.share_of(&whole)).sum();
-        let headroom = headroom + unmet;
-        let short = free < headroom || early;
+        let unmet = unmet > open.len() as f64 * c::UNMET_SHARE;
+        let short = unmet || free < headroom || early;
         let most = ((open.len() as f64 * c::CLOSE_SHARE) as usize).max(1);
         if short {
             l.fleet.roomy_since = None;
