Of places that end alike a task takes the earlier start

A service whose image was on its way to a machine with room found it as good to start there when the image had come, and the later of two equals won; the room went to arrays, and was made again in the next pass. Ruled out: promises of room (kept), claims used up (few then).

--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -144,7 +144,6 @@
     length: u64,
     /// Penalty factor, the image counted in.
     factor: f64,
-    slowdown: f64,
 }
 
 /// How much a place is liked among places that are alike, the least first.
@@ -191,12 +190,16 @@
         }
     }
 
-    /// The one of least slowdown. First fit itself stands beside the thresholds: with all
-    /// factors high they would only wait.
+    /// The one of least slowdown, that is, for one task, the one that ends first. First fit itself
+    /// stands beside the thresholds: with all factors high they would only wait.
+    ///
+    /// Of places that end alike the earlier start: to start where the image is on its way ends
+    /// no later than to wait for the image first. Services waited so, the places went to tasks
+    /// of lower ranks, and these were stopped for them in the next pass, again and again.
     fn best(self) -> Option<Allocation> {
         let least = self.least;
         let chosen = self.under.into_iter().filter_map(|u| u.or(least)).chain(self.first);
-        chosen.map(|(a, _)| a).reduce(|b, a| if a.slowdown < b.slowdown { a } else { b })
+        chosen.map(|(a, _)| a).min_by_key(|a| (a.start + a.length, a.start))
     }
 }
 
@@ -437,9 +440,7 @@
             }
         }
         let factor = (run + fetch) as f64 / run as f64 + penalized / run as f64;
-        let wait = (job.waited_ms + (start - now)) as f64;
-        let slowdown = (wait + factor * run as f64) / run as f64;
-        Some(Allocation { machine: m, start, length, factor, slowdown })
+        Some(Allocation { machine: m, start, length, factor })
     }
 
     /// Order among places that are alike. Services gather where services are, in the zone
@@ -1017,6 +1018,15 @@
         assert!(plan(&s).halts.is_empty(), "room that is being made counts");
     }
 
+    #[test]
+    fn a_task_starts_where_its_image_is_on_its_way_rather_than_wait_for_the_image() {
+        let mut m = machine(2);
+        m.kits = vec![(0, 20_000)];
+        m.running = vec![running(10_000)];
+        let p = plan(&snapshot(vec![m], vec![job(1, 1, 30_000)]));
+        assert_eq!(p.places, vec![(0, 0)]);
+    }
+
     #[test]
     fn a_task_for_which_room_is_made_does_not_go_elsewhere_meanwhile() {
         // Its image is here, under a task of a lower rank; the free machine must fetch it.
