--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -484,7 +484,6 @@
                     standing,
                     ran_ms: ran,
                     saves: spec.saves(),
-                    counts_start: counts_start(&cfg.params, spec),
                     halting: p.halt.is_some(),
                     halt_ms,
                     handle: handles.len() - 1,
@@ -606,15 +605,6 @@
     }
 }
 
-/// Whether an aim of the users is about when tasks of this job start.
-fn counts_start(params: &crate::settings::Params, spec: &Spec) -> bool {
-    params.objectives.iter().any(|o| match o.kind.as_str() {
-        "wait" => o.class.as_deref().is_none_or(|class| class == spec.duty),
-        "guarantee" => true,
-        _ => false,
-    })
-}
-
 fn guarantee(t: &crate::settings::Team) -> Resources {
     Resources::new(t.cpus, t.gpus, 0.0)
 }
