--- a/src/coordination/status.rs
+++ b/src/coordination/status.rs
@@ -20,7 +20,8 @@
 
 impl Controller {
     pub(super) fn status(&mut self, conn: ConnId) {
-        let body = serde_json::to_vec(&self.status_json()).unwrap_or_default();
+        // On many lines: with hundreds of machines one would be longer than a response may have.
+        let body = serde_json::to_vec_pretty(&self.status_json()).unwrap_or_default();
         self.respond(conn, 200, None, body);
     }
 
