Images are not queued on one machine while many others come up

Four images had been queued on one machine, which fetches them one after the other, while 480 machines were booting that the planner did not know of. Ruled out: a slow machine, lost starts.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -292,6 +292,12 @@
 pub const DELETE_MAX: usize = 100;
 /// Times its `ready_s` after which a booting machine no longer counts as coming soon.
 pub const BOOT_LATE: f64 = 1.8;
+/// Machines of a kind on their way from which on tasks may wait for one rather than queue their
+/// image on another: of so many one is up every few seconds, while the boot of a single one
+/// may take half as long again as expected.
+pub const COMING_MANY: u64 = 32;
+/// A booting machine past its `ready_s` is expected within this part of it.
+pub const BOOT_SOON_PART: u64 = 8;
 /// Times its `ready_s` after which a booting machine is deleted.
 pub const BOOT_LOST: f64 = 2.8;
 /// Times its `ready_s` that an idle machine is kept: to rent it again costs a boot and the
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -417,6 +417,22 @@
             zones: zones.iter().map(|z| z.to_string()).collect(),
         };
         v.snapshot.now = now;
+        for (i, spot) in [false, true].into_iter().enumerate() {
+            let coming =
+                books.machines.values().filter(|m| m.life == Life::Booting && m.spot == spot);
+            let waits: Vec<u64> = coming
+                .filter_map(|m| {
+                    let ready = (catalog.builds[sku_of(&m.sku)?].ready_s * c::MS_PER_S) as u64;
+                    let left = (m.rented_at + ready).saturating_sub(now);
+                    let late = now > m.rented_at + (ready as f64 * c::BOOT_LATE) as u64;
+                    // One that is late may come at any time.
+                    (!late).then_some(left.max(ready / c::BOOT_SOON_PART))
+                })
+                .collect();
+            let n = waits.len() as u64;
+            let many = n >= c::COMING_MANY;
+            v.snapshot.coming[i] = many.then(|| waits.iter().sum::<u64>() / n);
+        }
         v.snapshot.thresholds = op.thresholds.clone();
         for m in books.machines.values() {
             let (Some(zone), Some(sku)) = (zone_of(&m.yard), sku_of(&m.sku)) else {
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -114,6 +114,9 @@
     pub machines: Vec<MachineView>,
     pub jobs: Vec<JobView>,
     pub teams: Vec<TeamView>,
+    /// Milliseconds until machines are up of which many are on their way, in the mean: ordinary
+    /// ones, spot ones.
+    pub coming: [Option<u64>; 2],
     /// The last pass's reservation: job and machine. A reservation that moved from machine to
     /// machine as estimates slipped would never be emptied for.
     pub reserved: Option<(usize, usize)>,
@@ -406,6 +409,22 @@
         }
     }
 
+    /// Whether the task would wait here for other images to be fetched before its own (a
+    /// machine fetches them one after the other), and a machine will sooner be up that has
+    /// none to fetch. New machines came up one by one and each got all that waited then, four
+    /// images deep; the last of them took minutes.
+    fn better_on_the_way(&self, j: usize, m: usize) -> bool {
+        let job = &self.s.jobs[j];
+        let kits = &self.kits[m];
+        if kits.iter().any(|(k, _)| *k == job.kit) {
+            return false;
+        }
+        let ahead = kits.iter().map(|(_, ms)| *ms).max().unwrap_or(0);
+        let [ordinary, spot] = self.s.coming;
+        let soon = ordinary.into_iter().chain(spot.filter(|_| job.spot_ok)).min();
+        soon.is_some_and(|ms| ms < ahead)
+    }
+
     /// The allocation on one machine at one time.
     fn at(&self, j: usize, m: usize, start: u64) -> Option<Allocation> {
         let job = &self.s.jobs[j];
@@ -419,6 +438,9 @@
             return None;
         }
         let fetch = self.fetch_ms(j, m, start);
+        if start == now && self.better_on_the_way(j, m) {
+            return None;
+        }
         let run = job.run_ms.max(1);
         let penalized = row.penalized_ms(start, run + fetch, job.bandwidth);
         let length = run + fetch + penalized as u64;
@@ -919,6 +941,7 @@
             machines,
             jobs,
             teams: vec![TeamView { share: 1_000, ..TeamView::default() }],
+            coming: [None, None],
             reserved: None,
         }
     }
@@ -1018,6 +1041,21 @@
         assert!(plan(&s).halts.is_empty(), "room that is being made counts");
     }
 
+    #[test]
+    fn images_are_not_queued_on_one_machine_while_others_come_up() {
+        let mut m = machine(2);
+        m.kits = vec![(7, 30_000)];
+        let mut s = snapshot(vec![m], vec![job(1, 1, 30_000)]);
+        s.jobs[0].spot_ok = false;
+        s.coming = [Some(10_000), Some(1_000)];
+        assert!(plan(&s).places.is_empty(), "an ordinary machine is up before that image is here");
+        s.coming[0] = Some(40_000);
+        assert_eq!(plan(&s).places, vec![(0, 0)], "not that soon");
+        s.coming[0] = Some(10_000);
+        s.machines[0].kits = vec![(0, 5_000), (7, 30_000)];
+        assert_eq!(plan(&s).places, vec![(0, 0)], "its own is on its way");
+    }
+
     #[test]
     fn a_task_starts_where_its_image_is_on_its_way_rather_than_wait_for_the_image() {
         let mut m = machine(2);
