Which report follows an answer tells whether a worker hears us

Cause, found in reading and with a story: a worker that hears nothing goes round all controllers, four seconds and one each, so it comes by every 15 s (three) or 25 s (five), and the old signs needed three such rounds; a lease lost more than half a lease after our answer did not count. Now reports to others in between count, and a report that follows an answer within the 4 s that a worker waits clears the machine at once, so healed ones are not kept out.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -108,6 +108,8 @@
     /// The worker has shown our baton.
     pub shows_baton: bool,
     pub reported_at: Option<u64>,
+    /// When the newest report came, whoever's token it shows.
+    pub received_at: Option<u64>,
     /// When we last answered it with 200.
     pub answered_at: Option<u64>,
     /// When the cloud takes it.
@@ -156,6 +158,7 @@
             newest: (0, 0),
             shows_baton: false,
             reported_at: None,
+            received_at: None,
             answered_at: None,
             recall_at: None,
             lapsed: false,
@@ -701,6 +704,18 @@
     use super::*;
     use crate::protocol::state::raw;
 
+    #[test]
+    fn enough_signs_in_a_row_make_a_machine_deaf_and_one_of_hearing_ends_it() {
+        let mut m = Machine::new("n-a".into(), 0);
+        assert!(!m.note_heed(1, false, 1_000, 20_000));
+        assert!(!m.note_heed(1, true, 2_000, 20_000), "heard after all");
+        assert!(!m.note_heed(1, false, 3_000, 20_000));
+        assert!(m.note_heed(2, false, 5_000, 20_000), "three in a row");
+        assert!(!m.note_heed(0, false, 6_000, 20_000) && m.deaf_since.is_some(), "no sign yet");
+        m.note_heed(0, false, 30_000, 20_000);
+        assert!(m.deaf_since.is_none(), "calm for long");
+    }
+
     #[test]
     fn a_placement_settled_while_its_commit_is_under_way_is_settled_once() {
         // Once as never stored and once more when its group gave it up, its task came to wait
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -77,7 +77,7 @@
         let ours = report.baton == l.term;
         let m = l.books.machine_entry(&name, now);
         let id = (report.tenure, report.tally);
-        let (before, answered) = (m.newest, m.answered_at);
+        let (before, answered, received) = (m.newest, m.answered_at, m.received_at);
         if id <= m.newest {
             // Late or repeated: the worker has given it up.
             return self.elsewhere(conn);
@@ -89,6 +89,7 @@
             return self.elsewhere(conn);
         }
         m.newest = id;
+        m.received_at = Some(now);
         m.sku = report.build;
         m.yard = report.yard;
         m.spot = report.lendables;
@@ -106,17 +107,22 @@
             m.reported_at = Some(now);
         }
         m.lapsed = false;
-        // Its first report with our token shows that an answer has reached it.
-        let heeded = ours && !m.shows_baton;
+        // A worker that our answer has reached stays with us: its next report is the next one it
+        // sends, and comes before it would have given the answer up. One that no answer reaches
+        // waits, and tries the other controllers first. The first report with our token also
+        // shows that an answer has arrived.
+        let answered_last = received.is_some_and(|r| answered.is_some_and(|a| a >= r));
+        let wait = (c::WORKER_WAIT_S * c::MS_PER_S) as u64;
+        let follows = id == (before.0, before.1 + 1);
+        let heard = answered_last && follows && received.is_some_and(|r| now < r + wait);
+        let heeded = heard || ours && !m.shows_baton;
         m.shows_baton |= ours;
-        let lease = self.cfg.params.workers.lease_s * c::MS_PER_S;
-        let session_lost =
-            report.tenure > before.0 && answered.is_some_and(|t| now < t + (lease / 2.0) as u64);
         let mut signs = u32::from(!ours && answered.is_some());
-        if session_lost {
+        if answered_last && report.tenure > before.0 {
             // A worker that an answer reaches keeps its session.
             signs += c::DEAF_SESSION_SIGNS;
         }
+        signs += u32::from(answered_last && report.tally > before.1 + 1);
         let recalled = m.recall_at.is_some();
         m.recall_at = report.recall_s.map(|s| now + (s.max(0.0) * c::MS_PER_S) as u64);
         if m.recall_at.is_some() && !recalled {
@@ -174,6 +180,7 @@
             }
         }
         signs += u32::from(unheeded_start);
+        let lease = self.cfg.params.workers.lease_s * c::MS_PER_S;
         let calm = (lease * c::DEAF_CALM_LEASES) as u64;
         if m.note_heed(signs, heeded || heeded_start, now, calm) {
             log::info!("{name}: reports, but no answer seems to reach it");
