One batch of one job for the tests of bookkeeping; a copied list and a repeated check gone

Found in reading the change once more: the names of waiting jobs were gathered beside the list they belong in, a reason to return a machine was folded into another, and two modules built the same submission for their tests. Behaviour and assertions as before.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -721,12 +721,7 @@
         // Once as never stored and once more when its group gave it up, its task came to wait
         // while it was placed anew, and ran twice.
         let mut r = Replica::default();
-        let v = serde_json::json!({"uid": "job-1", "duty": "d", "crew": "c", "shape": "batch",
-            "rank": "high", "loads": 1, "cores": 1.0, "gpus": 0.0, "ram_gb": 1.0, "kit": "k",
-            "size_gb": 1.0, "together": false, "apart": false, "lendables": true,
-            "run_guess_s": 1.0, "mark_every_s": 0.0, "mark_cost_s": 0.0});
-        let jobs = vec![serde_json::from_value(v).expect("a submission")];
-        r.write(&batch_key("a"), &raw(&BatchRec { at: 1, first: 0, jobs }), 3);
+        r.write(&batch_key("a"), &raw(&batch_of("job-1", 1)), 3);
         let mut b = Books::from_replica(&r, 0);
         let (uid, a, z): (Name, Name, Name) = ("job-1".into(), "n-a".into(), "n-z".into());
         b.machine_entry(&a, 0);
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -307,6 +307,16 @@
     }
 }
 
+/// A batch of one job, for tests.
+#[cfg(test)]
+pub(super) fn batch_of(uid: &str, loads: u32) -> BatchRec {
+    let v = serde_json::json!({"uid": uid, "duty": "d", "crew": "c", "shape": "batch",
+        "rank": "high", "loads": loads, "cores": 1.0, "gpus": 0.0, "ram_gb": 1.0,
+        "kit": "k", "size_gb": 1.0, "together": false, "apart": false,
+        "lendables": true, "run_guess_s": 1.0, "mark_every_s": 0.0, "mark_cost_s": 0.0});
+    BatchRec { at: 5, first: 0, jobs: vec![serde_json::from_value(v).expect("a submission")] }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/bookkeeping/replica.rs
+++ b/src/bookkeeping/replica.rs
@@ -321,14 +321,6 @@
         Event { write: Some(key), remove: None, data: Some(raw(rec)), stamp }
     }
 
-    fn spec(uid: &str, loads: u32) -> BatchRec {
-        let v = serde_json::json!({"uid": uid, "duty": "d", "crew": "c", "shape": "batch",
-            "rank": "high", "loads": loads, "cores": 1.0, "gpus": 0.0, "ram_gb": 1.0,
-            "kit": "k", "size_gb": 1.0, "together": false, "apart": false,
-            "lendables": true, "run_guess_s": 1.0, "mark_every_s": 0.0, "mark_cost_s": 0.0});
-        BatchRec { at: 5, first: 0, jobs: vec![serde_json::from_value(v).expect("a submission")] }
-    }
-
     fn one() -> PlaceRec {
         PlaceRec { tasks: Placed::text("job-1", 0, "n-1", 7).expect("can be written") }
     }
@@ -362,9 +354,9 @@
         // Two batches of one commit once gave their jobs the same numbers, and of two jobs with
         // one number only one was ever planned.
         let mut r = Replica::default();
-        let mut two = spec("job-2", 1);
+        let mut two = batch_of("job-2", 1);
         two.first = 1;
-        r.write(&batch_key("a"), &raw(&spec("job-1", 1)), 4);
+        r.write(&batch_key("a"), &raw(&batch_of("job-1", 1)), 4);
         r.write(&batch_key("b"), &raw(&two), 4);
         assert!(r.jobs["job-1"].stamp < r.jobs["job-2"].stamp);
     }
@@ -373,8 +365,8 @@
     fn of_a_job_in_two_batches_the_first_counts_in_whatever_order_they_are_read() {
         let end = EndRec { at: 5, stage: Stage::Done, loads: 3, done: 3 };
         let all = [
-            (batch_key("a"), raw(&spec("job-1", 3)), 4),
-            (batch_key("b"), raw(&spec("job-1", 7)), 6),
+            (batch_key("a"), raw(&batch_of("job-1", 3)), 4),
+            (batch_key("b"), raw(&batch_of("job-1", 7)), 6),
             (end_key("job-1"), raw(&end), 9),
         ];
         for order in [[0, 1, 2], [1, 0, 2], [2, 1, 0], [2, 0, 1]] {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -557,8 +557,7 @@
                 false => (self.cfg.params.workers.lease_s * c::MS_PER_S) as u64,
             };
             let deaf = m.life == Life::Up && m.deaf_since.is_some_and(|t| now > t + patience);
-            let doubtful = doubtful || deaf;
-            if back || mute || unheard || doubtful {
+            if back || mute || unheard || doubtful || deaf {
                 names.push(m.name.clone());
             }
         }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -521,7 +521,6 @@
         }
         let index: HashMap<&Name, usize> =
             v.machines.iter().enumerate().map(|(i, m)| (m, i)).collect();
-        let mut names: Vec<Name> = Vec::new();
         // What each team's unfinished jobs take together, up to the one looked at.
         let mut claimed = vec![Resources::default(); cfg.params.teams.len()];
         for uid in books.queue.values() {
@@ -602,9 +601,8 @@
                 size_gb: spec.size_gb,
                 avoid,
             });
-            names.push(uid.clone());
+            v.jobs.push(uid.clone());
         }
-        v.jobs = names;
         for t in &cfg.params.teams {
             v.snapshot.teams.push(TeamView {
                 used: books.usage.get(&t.name).copied().unwrap_or_default(),
