Arrays that would be late are found together, and free places go by rank

Backfill went by penalty factor alone, so what was stopped took its place again beside the service, whose image was still to come, and was stopped once more. Room was also made where a service would then not start for its image. And in overload every array began and most were late: a job was held for late only when it could not be in time even alone.

Ruled out: the state service (no refused request), processor time (a third of the share), capacity as such.

Now free places go by rank, then by factor; no room is made where the task would not start; and waiting work is laid end to end, the largest giving way where not all can be in time (coordination/lateness).

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -232,6 +232,9 @@
 pub const RATIO_SAMPLES_MIN: u32 = 5;
 /// Least seconds of an estimate: keeps slowdowns finite.
 pub const ESTIMATE_MIN_S: f64 = 1.0;
+/// Time that tasks wait for their images, as a part of the time they run, at the most: while a
+/// fleet comes up nearly all of them wait, which tells little about later.
+pub const FETCHING_MOST: f64 = 1.0;
 /// Seconds by which an overdue task is taken to run on, as a share of what it ran.
 pub const OVERDUE_SHARE: f64 = 0.25;
 /// Tasks of one job considered in one pass; the next pass goes on.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -420,18 +420,22 @@
         for (i, spot) in [false, true].into_iter().enumerate() {
             let coming =
                 books.machines.values().filter(|m| m.life == Life::Booting && m.spot == spot);
-            let waits: Vec<u64> = coming
+            let coming: Vec<(u64, Resources)> = coming
                 .filter_map(|m| {
-                    let ready = (catalog.builds[sku_of(&m.sku)?].ready_s * c::MS_PER_S) as u64;
+                    let build = &catalog.builds[sku_of(&m.sku)?];
+                    let ready = (build.ready_s * c::MS_PER_S) as u64;
                     let left = (m.rented_at + ready).saturating_sub(now);
                     let late = now > m.rented_at + (ready as f64 * c::BOOT_LATE) as u64;
+                    let has = Resources::new(build.cores, build.gpus, build.ram_gb);
                     // One that is late may come at any time.
-                    (!late).then_some(left.max(ready / c::BOOT_SOON_PART))
+                    (!late).then_some((left.max(ready / c::BOOT_SOON_PART), has))
                 })
                 .collect();
-            let n = waits.len() as u64;
+            let waits = coming.iter().map(|(ms, _)| *ms);
+            let n = coming.len() as u64;
             let many = n >= c::COMING_MANY;
-            v.snapshot.coming[i] = many.then(|| waits.iter().sum::<u64>() / n);
+            v.snapshot.coming[i] = many.then(|| waits.sum::<u64>() / n);
+            v.snapshot.arriving.extend(coming);
         }
         v.snapshot.thresholds = op.thresholds.clone();
         for m in books.machines.values() {
@@ -570,21 +574,24 @@
             let within = planner::within(&claimed[team], &guarantee(&cfg.params.teams[team]));
             let waited_ms = clock.wall.saturating_sub(job.at_wall);
             let run_ms = l.run_ms(spec);
-            let aims = cfg.params.objectives.iter().filter(|o| {
-                o.kind == "finished" && o.class.as_deref().is_none_or(|class| class == spec.duty)
-            });
-            let missed = aims
-                .filter_map(|o| o.within_s)
+            let mut times: Vec<u64> = cfg
+                .params
+                .objectives
+                .iter()
+                .filter(|o| o.class.as_deref().is_none_or(|class| class == spec.duty))
+                .filter_map(|o| o.complete_within(spec.due_s, run_ms as f64 / c::MS_PER_S))
                 .chain(spec.due_s)
-                .filter(|s| (waited_ms + run_ms) as f64 > s * c::MS_PER_S)
-                .count();
+                .map(|s| ((s * c::MS_PER_S) as u64).saturating_sub(waited_ms))
+                .collect();
+            times.sort_unstable();
+            times.dedup();
             v.snapshot.jobs.push(JobView {
                 rank: spec.rank,
                 team,
                 standing: spec.shape == Shape::Standing,
                 arrival: job.arrival,
                 waited_ms,
-                missed,
+                times,
                 within,
                 need: job.need,
                 bandwidth: spec.cores * op.bandwidth(&spec.duty),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 mod commits;
 mod election;
 mod fleet;
+mod lateness;
 mod leader;
 mod peers;
 pub mod planner;
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -11,6 +11,7 @@
 //! services have no length, so a reference length stands in; where a higher rank can't
 //! start, tasks of lower ranks are stopped for it.
 
+use super::lateness;
 use crate::bookkeeping::reservation::{Bucket, Row};
 use crate::constants as c;
 use crate::protocol::users::Rank;
@@ -63,9 +64,9 @@
     pub standing: bool,
     pub arrival: u64,
     pub waited_ms: u64,
-    /// How many of the times by which it should be complete can't be met any more. Jobs
-    /// that can still be in time go before those that can't.
-    pub missed: usize,
+    /// Milliseconds until each of the times by which it should be complete, the soonest first.
+    /// Jobs that can be in time go before those that can't.
+    pub times: Vec<u64>,
     /// It fits into its team's guarantee together with the team's earlier unfinished jobs.
     pub within: bool,
     pub need: Resources,
@@ -117,6 +118,8 @@
     /// Milliseconds until machines are up of which many are on their way, in the mean: ordinary
     /// ones, spot ones.
     pub coming: [Option<u64>; 2],
+    /// Machines on their way: milliseconds until each is up, and what it has.
+    pub arriving: Vec<(u64, Resources)>,
     /// The last pass's reservation: job and machine. A reservation that moved from machine to
     /// machine as estimates slipped would never be emptied for.
     pub reserved: Option<(usize, usize)>,
@@ -215,6 +218,8 @@
     kits: Vec<Vec<(usize, u64)>>,
     in_zone: Vec<Vec<u32>>,
     waiting: Vec<u32>,
+    /// How many of its times each job is not expected to meet.
+    missed: Vec<usize>,
     /// Tasks per job for which room is being made: they wait for it.
     promised: Vec<u32>,
     used: Vec<Resources>,
@@ -269,6 +274,7 @@
         kits: s.machines.iter().map(|m| m.kits.clone()).collect(),
         in_zone: s.jobs.iter().map(|j| j.in_zone.clone()).collect(),
         waiting: s.jobs.iter().map(|j| j.waiting).collect(),
+        missed: Vec::new(),
         promised: vec![0; s.jobs.len()],
         used: s.teams.iter().map(|t| t.used).collect(),
         total: all_machines(s),
@@ -284,10 +290,13 @@
 impl Pass<'_> {
     fn run(&mut self) {
         let mut order: Vec<usize> = (0..self.s.jobs.len()).collect();
-        order.sort_by_key(|j| {
-            let job = &self.s.jobs[*j];
-            (job.rank, !job.within, self.over_share(*j), job.missed, job.arrival)
-        });
+        let turn = |pass: &Self, j: usize| {
+            let job = &pass.s.jobs[j];
+            (job.rank, !job.within, pass.over_share(j))
+        };
+        order.sort_by_key(|j| (turn(self, *j), self.s.jobs[*j].arrival));
+        self.missed = lateness::missed(self.s, &order, &self.total);
+        order.sort_by_key(|j| (turn(self, *j), self.missed[*j], self.s.jobs[*j].arrival));
         // Whoever has waited too long goes first, the oldest ahead, for a part of the places:
         // jobs that are late in any case would otherwise wait for ever behind those that can
         // still be in time.
@@ -600,9 +609,11 @@
                 .enumerate()
                 .filter_map(|(n, (j, a, seen))| a.map(|a| (n, *j, a, *seen)))
                 .min_by(|(_, j, a, _), (_, k, b, _)| {
-                    let missed = |j: &usize| self.s.jobs[*j].missed;
-                    missed(j)
-                        .cmp(&missed(k))
+                    // The rank first: else what was stopped for a service takes its place again
+                    // while the service's image is still to come.
+                    let turn = |j: &usize| (self.s.jobs[*j].rank, self.missed[*j]);
+                    turn(j)
+                        .cmp(&turn(k))
                         .then(a.factor.total_cmp(&b.factor))
                         .then(a.length.cmp(&b.length))
                 });
@@ -698,7 +709,9 @@
                             continue;
                         }
                     }
-                    if !self.allowed(j, m) {
+                    // Where it would not start for its image, room would be made for nothing, pass
+                    // after pass: in the wake of a start five tasks were stopped for each service.
+                    if !self.allowed(j, m) || self.better_on_the_way(j, m) {
                         continue;
                     }
                     let fetch = self.fetch_ms(j, m, self.s.now);
@@ -869,16 +882,16 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(super) mod tests {
     use super::*;
 
     const GPU: Resources = Resources { cpu: 1_000, gpu: 1_000, ram: 0 };
 
-    fn gpus(n: i64) -> Resources {
+    pub fn gpus(n: i64) -> Resources {
         GPU * n
     }
 
-    fn machine(n: i64) -> MachineView {
+    pub fn machine(n: i64) -> MachineView {
         MachineView {
             zone: 0,
             sku: 0,
@@ -892,7 +905,7 @@
         }
     }
 
-    fn running(end: u64) -> Running {
+    pub fn running(end: u64) -> Running {
         Running {
             rank: Rank::Standard,
             team: Some(0),
@@ -908,14 +921,14 @@
         }
     }
 
-    fn job(arrival: u64, n: i64, run_ms: u64) -> JobView {
+    pub fn job(arrival: u64, n: i64, run_ms: u64) -> JobView {
         JobView {
             rank: Rank::Standard,
             team: 0,
             standing: false,
             arrival,
             waited_ms: 0,
-            missed: 0,
+            times: vec![],
             within: false,
             need: gpus(n),
             bandwidth: 0.0,
@@ -934,7 +947,7 @@
         }
     }
 
-    fn snapshot(machines: Vec<MachineView>, jobs: Vec<JobView>) -> Snapshot {
+    pub fn snapshot(machines: Vec<MachineView>, jobs: Vec<JobView>) -> Snapshot {
         Snapshot {
             now: 0,
             thresholds: c::THRESHOLDS.to_vec(),
@@ -942,6 +955,7 @@
             jobs,
             teams: vec![TeamView { share: 1_000, ..TeamView::default() }],
             coming: [None, None],
+            arriving: vec![],
             reserved: None,
         }
     }
@@ -1065,6 +1079,37 @@
         assert_eq!(p.places, vec![(0, 0)]);
     }
 
+    #[test]
+    fn room_is_not_made_where_a_task_would_not_start_for_its_image() {
+        let mut m = machine(1);
+        m.kits = vec![(7, 30_000)];
+        m.running = vec![running(90_000)];
+        let mut s = snapshot(vec![m], vec![job(1, 1, 30_000)]);
+        s.jobs[0].rank = Rank::Production;
+        s.coming = [Some(10_000), None];
+        assert!(plan(&s).halts.is_empty(), "it waits for the machine that is on its way");
+        s.coming = [None, None];
+        assert_eq!(plan(&s).halts.len(), 1);
+    }
+
+    #[test]
+    fn free_places_go_by_rank_before_they_go_by_factor() {
+        // What had been stopped for services was placed again beside them, since its image was
+        // there and theirs was not, and stopped again: thousands of times in a minute.
+        let mut here = machine(1);
+        here.kits = vec![];
+        let mut s =
+            snapshot(vec![here], vec![job(1, 8, 1_000), job(2, 1, 30_000), job(3, 1, 60_000)]);
+        s.machines.push(machine(8));
+        s.machines[1].running = vec![running(9_000); 8];
+        s.jobs[0].rank = Rank::Production;
+        s.jobs[1].rank = Rank::Production;
+        s.jobs[1].kit = 5;
+        s.jobs[2].kit = 6;
+        s.jobs[2].size_gb = 0.1;
+        assert_eq!(plan(&s).places, vec![(1, 0)]);
+    }
+
     #[test]
     fn a_task_for_which_room_is_made_does_not_go_elsewhere_meanwhile() {
         // Its image is here, under a task of a lower rank; the free machine must fetch it.
@@ -1087,7 +1132,7 @@
     #[test]
     fn a_job_that_can_still_be_in_time_goes_before_one_that_can_not() {
         let mut s = snapshot(vec![machine(1)], vec![job(1, 1, 1_000), job(2, 1, 1_000)]);
-        s.jobs[0].missed = 1;
+        s.jobs[0].times = vec![500];
         assert_eq!(plan(&s).places, vec![(1, 0)]);
     }
 
@@ -1097,7 +1142,7 @@
         // jobs of a higher rank.
         let mut late = job(1, 1, 60_000);
         late.waiting = 100;
-        late.missed = 2;
+        late.times = vec![0, 0];
         let mut higher = job(2, 1, 60_000);
         higher.rank = Rank::High;
         higher.waiting = 100;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -89,6 +89,23 @@
     pub within_s: Option<f64>,
     #[serde(default)]
     pub share: Option<f64>,
+    /// Of a job's own deadline, for aims that are counted in it.
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
+impl Objective {
+    /// Seconds within which a job of an array has to be complete for this aim, if the aim asks
+    /// for that: `due_s` is its deadline, and its tasks run for `run_s`.
+    pub fn complete_within(&self, due_s: Option<f64>, run_s: f64) -> Option<f64> {
+        match self.kind.as_str() {
+            "finished" => self.within_s,
+            // Its last task has started by then.
+            "wait" => self.within_s.map(|s| s + run_s),
+            "deadline" => due_s.map(|s| s * self.times.unwrap_or(1.0)),
+            _ => None,
+        }
+    }
 }
 
 /// The workers' timing.
