--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -1101,7 +1101,7 @@
         let mut s =
             snapshot(vec![here], vec![job(1, 8, 1_000), job(2, 1, 30_000), job(3, 1, 60_000)]);
         s.machines.push(machine(8));
-        s.machines[1].running = vec![running(9_000); 8];
+        s.machines[1].running = vec![Running { rank: Rank::Production, ..running(9_000) }; 8];
         s.jobs[0].rank = Rank::Production;
         s.jobs[1].rank = Rank::Production;
         s.jobs[1].kit = 5;
