A controller that is cut off with workers keeps their leases in the leader's place

Ruled out: room elsewhere (the replicas are not allowed there), return of the machines (a new leader had not heard them yet).

Now the follower answers for the leader, bounded by the leader's own word and its last read of the store; the leader waits for its peers' word before it takes a lease for over. Silent machines are returned a lease and a boot after their last answer, not after 45 s.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -158,7 +158,7 @@
 /// Milliseconds to wait for a peer that answers a user's request for us.
 pub const RELAY_CALL_MS: u64 = 1_500;
 /// Version of the messages between controllers; others are dropped with a log line.
-pub const PEER_VERSION: u32 = 1;
+pub const PEER_VERSION: u32 = 2;
 /// Milliseconds without a served state request after which a controller holds itself
 /// for refused, for `/up` and relaying.
 pub const STATE_LOST_MS: u64 = 2_000;
@@ -172,8 +172,12 @@
 /// Milliseconds added whenever a worker's lease is taken to be over: covers packet
 /// delay and coarse timers.
 pub const LEASE_MARGIN_MS: u64 = 1_500;
-/// Milliseconds added where `cancel_s` must hold without the state service.
-pub const CANCEL_MARGIN_MS: u64 = 3_000;
+/// Milliseconds added where `cancel_s` must hold without the state service: a lease counts from
+/// when a report was sent, so only clocks and timers are to be covered.
+pub const CANCEL_MARGIN_MS: u64 = 1_000;
+/// Milliseconds between two looks for leases that have run out: far less than a lease, and more
+/// than a batch of commands takes, since it looks at every machine.
+pub const LAPSE_LOOK_MS: u64 = 100;
 /// Longest time in milliseconds that the answer to a report waits for a commit that
 /// may add orders to it; a worker gives up after 4 s.
 pub const REPORT_HOLD_MS: u64 = 400;
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -106,7 +106,8 @@
         self.writes.set_rate(rate * share, self.now.mono);
         let all = self.cfg.params.cloud.rps * c::STATE_RPS_SHARE;
         self.cloud.set_rate(all, self.now.mono);
-        self.leader = Some(Leader::new(term, won.ledger_rev, tenancy, self.now.mono));
+        self.leader =
+            Some(Leader::new(term, won.ledger_rev, tenancy, self.peers.len(), self.now.mono));
         self.leader_wants_fresh();
     }
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -489,11 +489,14 @@
         let Some(catalog) = self.catalog.clone() else {
             return;
         };
+        // Leases may be kept in our place for so long after we were last heard.
+        let blind = self.blind_ms() + self.lease_ms();
         let Some(l) = self.leader.as_mut() else {
             return;
         };
         let spare = l.spare_slots(now, &catalog);
         let silent = l.silent_services(now, &self.cfg);
+        let lease = (self.cfg.params.workers.lease_s * c::MS_PER_S) as u64;
         let silent_ms = (self.cfg.params.workers.report_s * c::SILENT_PERIODS * c::MS_PER_S) as u64;
         let mut free_slots: f64 = 0.0;
         for m in l.books.machines.values().filter(|m| usable(m) && !m.spot) {
@@ -505,6 +508,9 @@
             let ready = ready_ms(&catalog, &m.sku);
             let empty = m.placements.is_empty();
             let age = now.saturating_sub(m.rented_at);
+            // Cut off it may come back, and another one in its place takes a boot before it is of
+            // use: it is kept for that long. A zone that was cut off was once returned whole.
+            let give_up = lease + ready;
             let idle_ms = match op.idle_return_s {
                 Some(s) => (s * c::MS_PER_S) as u64,
                 None => (ready as f64 * c::IDLE_RETURN_BOOTS) as u64,
@@ -514,7 +520,7 @@
                 Life::Gone | Life::Deleting | Life::Unheard => false,
                 Life::Booting => age as f64 > ready as f64 * c::BOOT_LOST,
                 Life::Up if m.lapsed => {
-                    m.answered_at.is_none_or(|t| now > t + c::SILENT_DELETE_MS) || m.draining
+                    m.answered_at.is_none_or(|t| now > t + give_up) || m.draining
                 }
                 // Empty, or past its time and silent: to wait for the list would hold its
                 // tasks for twice its lag.
@@ -546,15 +552,14 @@
             // Silent since before this term: nobody may tell any more what runs there.
             let mute = m.life == Life::Up
                 && !m.lapsed
-                && m.reported_at.is_some_and(|t| now > t + c::SILENT_DELETE_MS);
-            let wait = c::SILENT_DELETE_MS + (self.cfg.params.workers.lease_s * c::MS_PER_S) as u64;
-            let unheard = m.life == Life::Unheard && now > m.known_at + wait;
+                && m.reported_at.is_some_and(|t| now > t + give_up.max(blind));
+            let unheard = m.life == Life::Unheard && now > m.known_at + lease + c::SILENT_DELETE_MS;
             let doubtful = silent.contains(&m.name);
             // What nobody can order about any more is replaced: with tasks on it once its lease
             // must be over, so that they start elsewhere.
             let patience = match empty {
                 true => c::SILENT_DELETE_MS,
-                false => (self.cfg.params.workers.lease_s * c::MS_PER_S) as u64,
+                false => lease,
             };
             let deaf = m.life == Life::Up && m.deaf_since.is_some_and(|t| now > t + patience);
             if back || mute || unheard || doubtful || deaf {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -58,6 +58,10 @@
     pub(super) began: u64,
     /// Last report of any worker.
     pub(super) heard_at: u64,
+    /// When each peer was last told that we lead: what permits it to stand in for us.
+    pub(super) permitted: Vec<Option<u64>>,
+    /// When leases are looked at next.
+    lapse_at: u64,
     /// When the next line of the day's story is due.
     story_at: u64,
     counter: u64,
@@ -78,7 +82,7 @@
 }
 
 impl Leader {
-    pub(super) fn new(term: u64, stamp: u64, tenancy: u64, now: u64) -> Leader {
+    pub(super) fn new(term: u64, stamp: u64, tenancy: u64, peers: usize, now: u64) -> Leader {
         Leader {
             term,
             stamp,
@@ -91,6 +95,8 @@
             held: Vec::new(),
             began: now,
             heard_at: now,
+            permitted: vec![None; peers],
+            lapse_at: now,
             story_at: now + c::STORY_PERIOD_MS,
             counter: 0,
             flight: None,
@@ -258,19 +264,26 @@
     // --- evidence by time --------------------------------------------------------
 
     /// Leases that have surely run out: the worker had shown our baton, so nobody of a
-    /// lower term can have renewed it, and our last answer is older than the lease.
+    /// lower term can have renewed it, our last answer is older than the lease, and no peer
+    /// has answered it in our place since.
     fn lapse_due(&mut self) {
         let now = self.now.mono;
         let lease = self.lease_ms();
+        if self.leader.as_ref().is_none_or(|l| now < l.lapse_at) {
+            return;
+        }
+        let alone_since = self.nobody_else_answered_before();
         let Some(l) = self.leader.as_mut() else {
             return;
         };
+        l.lapse_at = now + c::LAPSE_LOOK_MS;
         let mut lapsed = Vec::new();
         for m in l.books.machines.values_mut() {
             let Some(answered) = m.answered_at else {
                 continue;
             };
-            if m.shows_baton && !m.lapsed && m.life == Life::Up && now > answered + lease {
+            let over = now > answered + lease && answered <= alone_since;
+            if m.shows_baton && !m.lapsed && m.life == Life::Up && over {
                 m.lapsed = true;
                 lapsed.push(m.name.clone());
             }
@@ -296,11 +309,7 @@
         let Some(known) = self.sync.fresh_at else {
             return false;
         };
-        let w = &self.cfg.params.workers;
-        let lease = (w.lease_s * (1.0 + c::CLOCK_DRIFT) * c::MS_PER_S) as u64;
-        let cancel = (w.cancel_s * (1.0 - c::CLOCK_DRIFT) * c::MS_PER_S) as u64;
-        let span = cancel.saturating_sub(lease + c::CANCEL_MARGIN_MS);
-        if now - known <= span {
+        if now - known <= self.blind_ms() {
             return true;
         }
         // If every controller is refused as well, and none has had an answer newer than
@@ -314,6 +323,15 @@
             })
     }
 
+    /// Milliseconds after the begin of the last read of the store for which workers may still be
+    /// answered: every lease renewed by then is over when tasks cancelled since must be gone.
+    pub(super) fn blind_ms(&self) -> u64 {
+        let w = &self.cfg.params.workers;
+        let lease = (w.lease_s * (1.0 + c::CLOCK_DRIFT) * c::MS_PER_S) as u64;
+        let cancel = (w.cancel_s * (1.0 - c::CLOCK_DRIFT) * c::MS_PER_S) as u64;
+        cancel.saturating_sub(lease + c::CANCEL_MARGIN_MS)
+    }
+
     /// All workers are silent here while peers see them come round: someone else should lead.
     fn deaf_due(&mut self) {
         let now = self.now.mono;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 mod leader;
 mod peers;
 pub mod planner;
+mod standin;
 mod status;
 mod sync;
 mod users;
@@ -101,7 +102,7 @@
     LeaderCommit { term: u64 },
     Submit(u64),
     Withdraw { asker: Asker, uid: String, commit: Commit },
-    Gossip { peer: usize },
+    Gossip { peer: usize, begun: u64 },
     Relay { asker: Asker },
     Catalog,
     Hosts { begun: u64 },
@@ -165,6 +166,7 @@
     term_heard: u64,
     /// When each worker last reported here.
     workers_seen: HashMap<String, u64>,
+    stand_in: standin::StandIn,
     metrics: Metrics,
     /// Submissions that gather for a batch, and batches on their way.
     gathering: Vec<users::Pending>,
@@ -201,6 +203,7 @@
             peers,
             term_heard: 0,
             workers_seen: HashMap::new(),
+            stand_in: standin::StandIn::new(clock.mono),
             metrics: Metrics::new(),
             gathering: Vec::new(),
             batches: HashMap::new(),
@@ -287,7 +290,7 @@
             Purpose::LeaderCommit { term } => self.leader_committed(term, reply),
             Purpose::Submit(id) => self.submitted(id, reply),
             Purpose::Withdraw { asker, uid, commit } => self.withdrawn(asker, uid, commit, reply),
-            Purpose::Gossip { peer } => self.gossip_answered(peer, reply),
+            Purpose::Gossip { peer, begun } => self.gossip_answered(peer, begun, reply),
             Purpose::Relay { asker } => self.relay_answered(asker, reply),
             Purpose::Catalog => self.catalog_answered(reply),
             Purpose::Hosts { begun } => self.hosts_answered(begun, reply),
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -9,6 +9,9 @@
 pub(crate) struct PeerView {
     pub gossip: Option<Gossip>,
     pub heard_at: u64,
+    /// What it last vouched for in answer to a question: when that was asked, and a time after
+    /// which it has not answered any worker in the leader's place until then.
+    pub vouch: Option<(u64, u64)>,
     calling: bool,
     next_at: u64,
 }
@@ -35,6 +38,7 @@
             },
             workers_seen: self.workers_seen.values().filter(|t| now - **t <= seen_ms).count()
                 as u32,
+            stood_in_ago_ms: now - self.stand_in.last_at(),
         }
     }
 
@@ -47,47 +51,64 @@
             self.peers[i].calling = true;
             self.peers[i].next_at = now + c::GOSSIP_MS;
             let body = encode(&self.gossip());
-            let purpose = Purpose::Gossip { peer: i };
+            let purpose = Purpose::Gossip { peer: i, begun: now };
             self.call(Service::Peer(i), "POST", "/gossip".into(), body, c::GOSSIP_CALL_MS, purpose);
         }
     }
 
-    pub(super) fn gossip_answered(&mut self, peer: usize, reply: Option<(u16, Vec<u8>)>) {
+    pub(super) fn gossip_answered(
+        &mut self,
+        peer: usize,
+        begun: u64,
+        reply: Option<(u16, Vec<u8>)>,
+    ) {
         self.peers[peer].calling = false;
-        if let Some((200, body)) = reply {
-            self.hear(&body);
+        let Some((200, body)) = reply else { return };
+        if self.hear(&body) != Some(peer) {
+            return;
+        }
+        let now = self.now.mono;
+        let p = &mut self.peers[peer];
+        let Some(g) = &p.gossip else { return };
+        p.vouch = Some((begun, now.saturating_sub(g.stood_in_ago_ms)));
+        if g.leads {
+            self.stand_in.permitted(g.term, begun);
         }
     }
 
-    fn hear(&mut self, body: &[u8]) -> bool {
+    /// Takes note of what a peer says; tells which one it is.
+    fn hear(&mut self, body: &[u8]) -> Option<usize> {
         let g: Gossip = match decode(body) {
             Ok(g) => g,
             Err(e) => {
                 log::info!("message of a peer can't be read: {e}");
-                return false;
+                return None;
             }
         };
         if g.version != c::PEER_VERSION {
             log::info!("message of {} has version {}", g.label, g.version);
-            return false;
+            return None;
         }
-        let Some(i) = self.cfg.peers.iter().position(|p| p.label == g.label) else {
-            return false;
-        };
+        let i = self.cfg.peers.iter().position(|p| p.label == g.label)?;
         if g.term > self.term_heard {
             self.term_heard = g.term;
         }
         self.peers[i].heard_at = self.now.mono;
         self.peers[i].gossip = Some(g);
         self.check_term();
-        true
+        Some(i)
     }
 
     pub(super) fn peer_request(&mut self, conn: ConnId, method: &str, path: &str, body: &[u8]) {
         match (method, path) {
             ("POST", "/gossip") => {
-                if self.hear(body) {
+                if let Some(peer) = self.hear(body) {
                     let body = encode(&self.gossip());
+                    let now = self.now.mono;
+                    if let Some(l) = self.leader.as_mut() {
+                        // Our word that we lead permits it to answer workers in our place for a while.
+                        l.permitted[peer] = Some(now);
+                    }
                     self.respond(conn, 200, None, body);
                 } else {
                     self.respond(conn, 400, None, vec![]);
--- /dev/null
+++ b/src/coordination/standin.rs
@@ -0,0 +1,100 @@
+//! Standing in for the leader: a controller that is left with nothing but workers, in a zone that
+//! is cut off, say, keeps their leases for a while.
+//!
+//! It has no orders to give, only halts of tasks whose jobs it knows to be over. What permits it is
+//! the leader's own word in answer to a question of ours: for as long after the question as
+//! leases may be renewed without the state service (see [`Controller::may_answer`]). The leader
+//! knows when it last gave that word. So it takes no lease for over until every peer has vouched, after the
+//! lease, that it did not stand in, or can't have been permitted any more when the lease began.
+
+use super::users::served_gossip;
+use super::*;
+use crate::bookkeeping::records::Stage;
+use crate::protocol::parse_task;
+use crate::protocol::workers::{Order, Orders, Report};
+
+/// What a controller knows of its own standing in.
+#[derive(Debug)]
+pub(crate) struct StandIn {
+    /// The leader's term, and when we asked the question that it answered.
+    permit: Option<(u64, u64)>,
+    /// When we last answered a worker in the leader's place, or began.
+    last_at: u64,
+}
+
+impl StandIn {
+    pub(super) fn new(now: u64) -> StandIn {
+        StandIn { permit: None, last_at: now }
+    }
+
+    /// The leader of a term has answered a question asked at `begun`.
+    pub(super) fn permitted(&mut self, term: u64, begun: u64) {
+        if self.permit.is_none_or(|p| (term, begun) > p) {
+            self.permit = Some((term, begun));
+        }
+    }
+
+    pub(super) fn last_at(&self) -> u64 {
+        self.last_at
+    }
+}
+
+impl Controller {
+    /// Whether a worker that shows this token may be answered in the leader's place: nobody else
+    /// is to be had for it, as far as we can tell.
+    pub(super) fn may_stand_in(&self, baton: u64) -> bool {
+        let now = self.now.mono;
+        let (Some((term, begun)), Some(known)) = (self.stand_in.permit, self.sync.fresh_at) else {
+            return false;
+        };
+        let alone = !self.served() && !self.fresh_gossip().any(|g| g.leads || served_gossip(g));
+        alone
+            && term == self.term_heard
+            && baton <= term
+            && now <= begun.min(known) + self.blind_ms()
+    }
+
+    /// Answers a report in the leader's place.
+    pub(super) fn stand_in_for(&mut self, conn: ConnId, report: Report) {
+        let over = |load: &str| {
+            let job = parse_task(load).and_then(|(uid, _)| self.replica.jobs.get(uid));
+            job.is_some_and(|j| j.value.stage != Stage::Live)
+        };
+        // What was cancelled before we were left alone must not outlive its time for that.
+        let orders = report
+            .loads
+            .into_iter()
+            .filter(|x| super::leader::is_on(x.status) && over(&x.load))
+            .take(c::ORDERS_MAX)
+            .map(|x| Order::Halt { load: x.load, attempt: x.attempt, wind_down_s: 0.0 })
+            .collect();
+        let now = self.now.mono;
+        if now > self.stand_in.last_at + self.lease_ms() {
+            log::info!(
+                "left with nothing but workers, keeps their leases in term {}",
+                self.term_heard
+            );
+        }
+        self.stand_in.last_at = now;
+        let body =
+            serde_json::to_vec(&Orders { baton: self.term_heard, orders }).unwrap_or_default();
+        self.respond(conn, 200, None, body);
+    }
+
+    /// The time of our last answer up to which no peer can keep a worker's lease that we have
+    /// not renewed since: each has vouched, after the lease, that it did not stand in, or was
+    /// last permitted to so long ago that any lease it renewed is over.
+    pub(super) fn nobody_else_answered_before(&self) -> u64 {
+        let now = self.now.mono;
+        let lease = self.lease_ms();
+        let Some(l) = &self.leader else { return 0 };
+        let permitted = self.blind_ms() + lease;
+        let of = |(peer, told): (&peers::PeerView, &Option<u64>)| match (told, peer.vouch) {
+            (None, _) => u64::MAX,
+            (Some(t), _) if now > t + permitted => u64::MAX,
+            (_, Some((asked, stood_in))) if stood_in + lease <= asked => asked - lease,
+            _ => 0,
+        };
+        self.peers.iter().zip(&l.permitted).map(of).min().unwrap_or(u64::MAX)
+    }
+}
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -56,10 +56,13 @@
             self.check_term();
         }
         let ready = self.leader.as_ref().is_some_and(|l| l.ready);
-        if !ready || !self.may_answer() {
-            return self.elsewhere(conn);
+        if ready && self.may_answer() {
+            self.absorb(conn, report);
+        } else if self.leader.is_none() && self.may_stand_in(report.baton) {
+            self.stand_in_for(conn, report);
+        } else {
+            self.elsewhere(conn);
         }
-        self.absorb(conn, report);
     }
 
     fn absorb(&mut self, conn: ConnId, report: Report) {
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -20,6 +20,9 @@
     pub served_ago_ms: Option<u64>,
     /// Workers that reported to the sender within the last few seconds.
     pub workers_seen: u32,
+    /// Milliseconds since the sender last answered a worker in the leader's place, or since it
+    /// began if it never did: an earlier life of it may have.
+    pub stood_in_ago_ms: u64,
 }
 
 /// A user's request that the receiver is asked to answer.
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -18,7 +18,7 @@
 
 fn trouble(w: &mut World) {
     let i = w.rng.random_range(0..3);
-    match w.rng.random_range(0..20) {
+    match w.rng.random_range(0..21) {
         0 => {
             let back = if w.rng.random_bool(0.3) { 100 } else { w.rng.random_range(500..8_000) };
             w.crash(i, back);
@@ -51,6 +51,13 @@
             w.nodes[i].cut_state = cut;
             w.nodes[i].cut_peers = cut;
         }
+        20 => match w.zone_cut {
+            Some(_) => w.join_zone(),
+            None => {
+                let zone = if w.rng.random_bool(0.5) { "a" } else { "b" };
+                w.cut_zone(zone, i);
+            }
+        },
         18 => {
             w.copies = if w.copies > 0.0 { 0.0 } else { 0.2 };
             w.copies_ms = w.rng.random_range(3_000..LEASE_MS * 4);
@@ -83,6 +90,7 @@
         n.cut_workers = false;
         n.cut_peers = false;
     }
+    w.zone_cut = None;
     if w.state.outage {
         w.end_outage();
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -357,6 +357,77 @@
     assert_eq!(on, 3, "no lease ended for it");
 }
 
+/// A service with a replica in each zone, zone b cut off with a controller that does not lead.
+fn zone_b_cut_off() -> World {
+    let mut w = settled();
+    let mut s = w.spec(1, "standing", 4);
+    s["apart"] = json!(true);
+    w.submit(s, u64::MAX, 0);
+    w.until(30_000, "runs in both zones", |w| running(w) == 4);
+    let inside = (0..3).find(|i| w.leader() != Some(*i)).expect("followers");
+    w.cut_zone("b", inside);
+    w
+}
+
+#[test]
+fn services_in_a_zone_that_is_cut_off_stay_up_while_a_controller_is_in_it() {
+    // Their leases ran out once although a controller stood beside them, and the half of each
+    // service that must be in that zone was down for the whole cut.
+    let mut w = zone_b_cut_off();
+    w.run(LEASE_MS + LEASE_MS / 2);
+    assert_eq!(running(&w), 4, "kept beyond their lease: {}", w.view());
+    w.join_zone();
+    w.run(LEASE_MS * 2);
+    assert_eq!((running(&w), w.jobs["job-000001"].starts), (4, 4), "and none was started anew");
+    serves_batch(&mut w);
+}
+
+#[test]
+fn leases_kept_in_the_leaders_place_end_in_time_for_a_cancellation_and_are_waited_for() {
+    let mut w = zone_b_cut_off();
+    w.run(2_000);
+    let outside = w.leader().expect("leads");
+    let r = w.withdraw("job-000001", outside);
+    w.until(3_000, "withdrawn", |w| w.status(r) == 200);
+    // The world's checker wants every task gone in time, also those that nobody can reach.
+    w.run(CANCEL_MS + LEASE_MS);
+    assert_eq!(running(&w), 0, "{}", w.view());
+    w.join_zone();
+    serves_batch(&mut w);
+}
+
+#[test]
+fn what_ran_in_a_zone_that_stays_cut_off_starts_elsewhere_only_when_its_lease_is_over() {
+    let mut w = settled();
+    // Something holds the other zone while it is placed, and there is room there afterwards.
+    let mut s = w.spec(3, "batch", 4);
+    s["yard"] = json!("a");
+    w.submit(s, 60_000, 0);
+    w.run(4_000);
+    let mut s = w.spec(1, "batch", 2);
+    s["run_guess_s"] = json!(60.0);
+    w.submit(s, 60_000, 0);
+    w.until(10_000, "runs in zone b", |w| running(w) == 6);
+    let leader = w.leader().expect("leads");
+    w.withdraw("job-000003", leader);
+    w.until(10_000, "room in zone a", |w| running(w) == 2);
+    w.cut_zone("b", (leader + 1) % 3);
+    // The checker breaks off where a task starts while it is still on a machine.
+    w.until_done("job-000001", 300_000);
+    assert!(w.jobs["job-000001"].starts > 2, "they were started again");
+    w.join_zone();
+    w.run(LEASE_MS);
+    serves_batch(&mut w);
+}
+
+/// A new job is done.
+fn serves_batch(w: &mut World) {
+    let s = w.spec(2, "batch", 3);
+    let to = w.leader().expect("leads");
+    w.submit(s, 1_000, to);
+    w.until_done("job-000002", 60_000);
+}
+
 #[test]
 fn controllers_back_at_once_in_the_middle_of_elections_lead_and_lose_nothing() {
     let mut w = with_service(3);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -342,6 +342,9 @@
     seq: u64,
     next_request: u64,
     zones: Vec<String>,
+    /// A zone that is cut off, and the controller in it: of all that passes, only reports of the
+    /// zone's workers to that controller and its answers get through.
+    pub zone_cut: Option<(String, usize)>,
     /// Share of reports that come late, after their worker gave up.
     pub late_reports: f64,
     /// Share of reports of which a copy comes late, by up to so many milliseconds.
@@ -385,6 +388,7 @@
             seq: 0,
             next_request: 1,
             zones: vec!["a".into(), "b".into()],
+            zone_cut: None,
             late_reports: 0.0,
             copies: 0.0,
             copies_ms: LEASE_MS * 3,
@@ -412,6 +416,27 @@
         w
     }
 
+    /// Cuts a zone off with one controller in it.
+    pub fn cut_zone(&mut self, zone: &str, node: usize) {
+        self.zone_cut = Some((zone.into(), node));
+        self.nodes[node].cut_state = true;
+        self.nodes[node].cut_peers = true;
+    }
+
+    /// Ends that.
+    pub fn join_zone(&mut self) {
+        if let Some((_, node)) = self.zone_cut.take() {
+            self.nodes[node].cut_state = false;
+            self.nodes[node].cut_peers = false;
+        }
+    }
+
+    /// Whether a cut zone lies between a worker and a controller.
+    fn apart(&self, worker: &str, node: usize) -> bool {
+        let yard = self.workers.get(worker).map(|w| w.yard.as_str());
+        self.zone_cut.as_ref().is_some_and(|(z, inside)| (yard == Some(z)) != (node == *inside))
+    }
+
     fn add_host(&mut self, zone: usize, spot: bool, up: Option<u64>) -> String {
         let name = format!("n-{:06}", self.cloud.next);
         self.cloud.next += 1;
@@ -639,7 +664,9 @@
                 let n = &mut self.nodes[node];
                 let (cut_workers, cut_peers) = (n.cut_workers, n.cut_peers);
                 match n.conns.remove(&conn) {
-                    Some(Conn::Worker { name, request }) if !cut_workers => {
+                    Some(Conn::Worker { name, request })
+                        if !cut_workers && !self.apart(&name, node) =>
+                    {
                         self.send(d, Msg::Answer { worker: name, request, status, body })
                     }
                     Some(Conn::User { request }) => {
@@ -714,8 +741,9 @@
                 }
             }
             Msg::Report { worker, request, node, body } => {
+                let apart = self.apart(&worker, node);
                 let n = &mut self.nodes[node];
-                if n.cut_workers {
+                if n.cut_workers || apart {
                     return;
                 }
                 if n.core.is_none() {
