Nothing is placed on a machine that is to be taken

The planner still used machines with a notice for tasks short enough, and what is stored leaves them out: the same tasks went there in every pass, while there was room elsewhere, until the machine was gone.

A story fails without it. The log of an acceptance names the deadline.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -464,6 +464,9 @@
                 && !m.draining
                 && !m.closing
                 && !m.lapsed
+                // What is to be taken gets nothing more: it would not be stored, and the same tasks
+                // were placed there pass after pass while others had room for them.
+                && m.recall_at.is_none()
                 // Nothing goes to a machine before it has shown our token: what reports may be
                 // a late copy of one that is gone, or a machine that hears nobody.
                 && m.shows_baton
@@ -536,7 +539,6 @@
                 running,
                 kits: held,
                 fetch_ms_per_gb: per_gb,
-                taken_in: m.recall_at.map(|t| t.saturating_sub(now)),
             });
             v.machines.push(m.name.clone());
             v.handles.push(handles);
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -52,8 +52,6 @@
     pub kits: Vec<(usize, u64)>,
     /// Milliseconds to fetch a gigabyte.
     pub fetch_ms_per_gb: f64,
-    /// Milliseconds until the cloud takes it.
-    pub taken_in: Option<u64>,
 }
 
 /// A job with waiting tasks.
@@ -456,11 +454,6 @@
         if start > now && !row.fits_later(start, length, &job.need) {
             return None;
         }
-        if let Some(taken) = self.s.machines[m].taken_in {
-            if start + length > now + taken {
-                return None;
-            }
-        }
         if let Some((rm, rt, need)) = &self.reserved {
             if *rm == m && start + length > *rt {
                 let mut at = row.free_at(*rt);
@@ -901,7 +894,6 @@
             running: vec![],
             kits: vec![(0, 0)],
             fetch_ms_per_gb: 4_000.0,
-            taken_in: None,
         }
     }
 
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -298,14 +298,15 @@
                     self.metrics.accepted += 1;
                     let _ = self.metrics.submit_ms.record(self.now.mono - p.at);
                     log::debug!(
-                        "{}: accepted in {} ms, {} tasks of {} for {}, {} of {} GB",
+                        "{}: accepted in {} ms, {} tasks of {} for {}, {} of {} GB, due after {:?} s",
                         p.spec.uid,
                         self.now.mono - p.at,
                         p.spec.loads,
                         p.spec.duty,
                         p.spec.crew,
                         p.spec.kit,
-                        p.spec.size_gb
+                        p.spec.size_gb,
+                        p.spec.due_s
                     );
                     for asker in p.askers {
                         let accepted = Accepted { uid: &p.spec.uid, status: Status::Queued };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -605,6 +605,25 @@
     w.until(11_000, "started elsewhere", |w| w.jobs["job-000001"].starts > starts);
 }
 
+#[test]
+fn tasks_do_not_wait_for_a_machine_that_is_to_be_taken() {
+    // They were placed there in every pass and never stored, hundreds of times each.
+    let mut w = settled();
+    let mut s = w.spec(1, "batch", 1);
+    s["yard"] = json!("a");
+    s["run_guess_s"] = json!(15.0);
+    w.submit(s, 15_000, 0);
+    w.until(10_000, "it runs", |w| running(w) == 1);
+    // It alone has the image, and is kept for what can still end on it.
+    let end = w.now + 25_000;
+    let first = w.workers.keys().next().expect("a machine").clone();
+    w.workers.get_mut(&first).expect("there").recall_at = Some(end);
+    w.run(3_000);
+    let s = w.spec(2, "batch", 3);
+    w.submit(s, 500, 0);
+    w.until_done("job-000002", 12_000);
+}
+
 #[test]
 fn a_burst_of_submissions_at_one_controller_is_taken_with_its_peers_help() {
     // One that had used up its share of the writes once refused what its peers could take.
