--- a/src/constants.rs
+++ b/src/constants.rs
@@ -245,8 +245,11 @@
 pub const JOB_TASKS_PER_PASS: usize = 64;
 /// Jobs looked at by one pass, oldest first; bounds its time with huge queues.
 pub const JOBS_PER_PASS: usize = 200;
-/// Tasks placed by one pass; bounds the commit that follows.
+/// Tasks placed by one pass, whatever the size of the fleet.
 pub const PLACES_PER_PASS: usize = 128;
+/// Tasks placed by one pass beside those, for each machine: passes are the rarer, the more machines
+/// there are, and a whole fleet comes up within half a minute. A commit holds well over a thousand.
+pub const PLACES_PER_MACHINE: f64 = 0.25;
 /// Later places that one pass works out for waiting tasks; bounds its time.
 pub const CLAIMS_PER_PASS: usize = 96;
 /// Milliseconds of waiting after which a job of which no task ever started goes first,
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -362,7 +362,8 @@
     }
 
     fn full(&self) -> bool {
-        self.plan.places.len() >= c::PLACES_PER_PASS
+        let most = c::PLACES_PER_PASS as f64 + self.rows.len() as f64 * c::PLACES_PER_MACHINE;
+        self.plan.places.len() >= most as usize
     }
 
     /// Whether its team has filled its share, and so borrows from here on.
