Rentals go out together as far as the cloud's rate allows

Cause (wake of the start, info log): of a thousand machines wanted, 640 were rented after 10 s and 840 after 30 s: one request of 50 a kind went out at each look, and looks come the less often, the more machines there are.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -742,12 +742,22 @@
         let mut rentals: Vec<Rental> = Vec::new();
         let mut kinds: Vec<_> = wanted.into_iter().collect();
         kinds.sort();
-        for ((build, yard, spot), number) in kinds {
-            if !self.cloud.take(1.0, 1.0, now) {
-                break;
+        // As many requests as it takes, a kind each in turn, as long as the cloud's rate allows.
+        while let Some(n) = kinds.iter().position(|(_, number)| *number > 0) {
+            for ((build, yard, spot), left) in &mut kinds[n..] {
+                let number = (*left).min(c::RENT_MAX);
+                if number == 0 {
+                    continue;
+                }
+                if !self.cloud.take(1.0, 1.0, now) {
+                    *left = 0;
+                    continue;
+                }
+                *left -= number;
+                let (build, yard, spot) = (*build, yard.clone(), *spot);
+                let hire = format!("mg-{}", l.unique());
+                rentals.push(Rental { hire, build, yard, spot, number });
             }
-            let hire = format!("mg-{}", l.unique());
-            rentals.push(Rental { hire, build, yard, spot, number: number.min(c::RENT_MAX) });
         }
         for r in rentals {
             log::info!(
