--- a/src/constants.rs
+++ b/src/constants.rs
@@ -22,6 +22,11 @@
 /// Milliseconds an inbound connection may stay open with nothing to do. Users poll
 /// every 5 s and workers report more often.
 pub const HTTP_IDLE_MS: u64 = 60_000;
+/// The same while nearly all inbound connections are taken: after a cut a fleet opens its
+/// connections anew while the old ones still hang, and must not be refused for them.
+pub const HTTP_IDLE_CROWDED_MS: u64 = 15_000;
+/// Share of the inbound connections from which on they are nearly all taken.
+pub const CROWDED_SHARE: f64 = 0.8;
 /// Bytes read from one socket at a time; one report or answer normally fits.
 pub const READ_CHUNK: usize = 16 * 1024;
 
@@ -34,8 +39,9 @@
 pub const OUTBOUND_PER_TARGET: usize = 12;
 /// Requests waiting for an outbound connection; more fail at once.
 pub const OUTBOUND_QUEUE: usize = 512;
-/// Pending connections the kernel may hold for a listener.
-pub const LISTEN_BACKLOG: i32 = 1024;
+/// Pending connections the kernel may hold for a listener: after a change of leader all workers
+/// come over at once, thousands of them; the kernel bounds it further.
+pub const LISTEN_BACKLOG: i32 = 4_096;
 /// Milliseconds between sweeps for idle and overdue connections.
 pub const SWEEP_MS: u64 = 250;
 /// Longest wait of the poll loop in milliseconds, so that timers stay live.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -7,6 +7,7 @@
 use crate::bookkeeping::records::*;
 use crate::protocol::cloud::{hosts_path, Build, Host, HostStatus, Hosts, Names, Rent};
 use crate::protocol::users::Shape;
+use crate::protocol::workers::Cause;
 use crate::protocol::Resources;
 use std::collections::{HashSet, VecDeque};
 
@@ -308,15 +309,16 @@
         let Some(l) = self.leader.as_mut() else { return };
         // A placement whose commit was under way when its machine was found gone or silent was
         // never ordered; it once stayed for ever, and its task with it.
-        let over: Vec<Name> = l
-            .books
-            .machines
-            .values()
-            .filter(|m| (m.life == Life::Gone || m.lapsed) && !m.placements.is_empty())
-            .map(|m| m.name.clone())
-            .collect();
-        for name in over {
-            l.books.settle_all(&name);
+        let mut over: Vec<(Name, TaskId)> = Vec::new();
+        for m in l.books.machines.values().filter(|m| m.life == Life::Gone || m.lapsed) {
+            // On a silent one only what was not ordered since it lapsed.
+            let never = |p: &Placement| m.life == Life::Gone || p.ordered.is_none();
+            let open = |p: &Placement| p.ended.is_none() && p.phase == Phase::Committed;
+            let ids = m.placements.iter().filter(|(_, p)| open(p) && never(p));
+            over.extend(ids.map(|(id, _)| (m.name.clone(), id.clone())));
+        }
+        for (name, id) in over {
+            l.books.settle(&name, &id, Cause::Lost);
         }
         l.books.machines.retain(|_, m| m.life != Life::Gone || !m.placements.is_empty());
     }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -282,7 +282,10 @@
             let Some(answered) = m.answered_at else {
                 continue;
             };
-            let over = now > answered + lease && answered <= alone_since;
+            // One whose report waits for its answer is not silent: it was once taken for silent
+            // again when it came back, with a start for it on the way, and that task ran twice.
+            let last = answered.max(m.received_at.unwrap_or(0));
+            let over = now > last + lease && last <= alone_since;
             if m.shows_baton && !m.lapsed && m.life == Life::Up && over {
                 m.lapsed = true;
                 lapsed.push(m.name.clone());
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -318,7 +318,8 @@
                     _ => 0.0,
                 };
                 orders.push(Order::Halt { load, attempt: p.attempt, wind_down_s });
-            } else if p.seen.is_none() && m.life == Life::Up && (!inherited || h.ours) {
+            } else if p.seen.is_none() && m.life == Life::Up && !m.lapsed && (!inherited || h.ours)
+            {
                 p.ordered = Some(h.newest);
                 starts.push(Order::Start { load, attempt: p.attempt });
             }
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -549,6 +549,8 @@
 
     fn sweep(&mut self, now: Instant) {
         let over = |since: Instant, ms: u64| now.duration_since(since) > Duration::from_millis(ms);
+        let crowded = self.inbound.len() as f64 >= self.inbound_max as f64 * c::CROWDED_SHARE;
+        let idle_ms = if crowded { c::HTTP_IDLE_CROWDED_MS } else { c::HTTP_IDLE_MS };
         let mut slow = Vec::new();
         let mut gone = Vec::new();
         for (key, conn) in &self.conns {
@@ -565,7 +567,7 @@
                     }
                 }
                 Role::Inbound { .. } => {
-                    if over(conn.since, c::HTTP_IDLE_MS) {
+                    if over(conn.since, idle_ms) {
                         gone.push(*key);
                     }
                 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -447,6 +447,22 @@
         name
     }
 
+    /// A world with so many machines that all begin to report at once.
+    pub fn fleet(seed: u64, machines: usize) -> World {
+        let mut w = World::new(seed);
+        w.cloud.capacity = machines;
+        for i in w.cloud.hosts.len()..machines {
+            w.add_host(i % 2, false, Some(w.now));
+        }
+        w
+    }
+
+    /// Machines that are there, and all that were ever rented.
+    pub fn machines(&self) -> (usize, usize) {
+        let there = self.cloud.hosts.values().filter(|h| h.gone.is_none()).count();
+        (there, self.cloud.hosts.len())
+    }
+
     fn send(&mut self, delay: u64, m: Msg) {
         self.seq += 1;
         self.net.insert((self.now + delay, self.seq), m);
