A leader that can't read the store starts nothing and stops what its peers say is over

Cause: without the state service a leader went on answering for cancel_s less a lease after its last read, gave starts of stored placements all that time, and beyond it relied on peers' messages taken at their arrival, which may have been held on the way. Every task of a healthy fleet ended after that time in an outage met with a refusal of the leader alone.

Now one time, known at, decides: the begin of the last read, or of the last question that every peer answered with all ends in its copy. Renewing rests on it plus cancel_s less a lease; a start on it plus 2 s. What peers name is stopped at once, never evidence.

Ruled out: messages of peers that are not answers (held ones), the peers' being refused, revisions and ages of lives.

The fake world learned held questions of peers, controllers that stand still, mute and hung machines, late writes, and counts start orders after a confirmed cancellation.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -181,6 +181,16 @@
 /// Milliseconds added where `cancel_s` must hold without the state service: a lease counts from
 /// when a report was sent, so only clocks and timers are to be covered.
 pub const CANCEL_MARGIN_MS: u64 = 1_000;
+/// Milliseconds for which what is known of cancellations is recent enough to order a start: one
+/// period of reads and the longest wait for an answer, so that a start waits for nothing while
+/// the state service answers at all.
+pub const START_KNOWN_MS: u64 = PULSE_MS + STATE_CALL_MS + 100;
+/// Milliseconds without a read of the store after which a leader asks its peers for ends: one
+/// period of reads and an answer as slow as most slow ones, so that a quiet day asks nothing.
+pub const BLIND_ASK_MS: u64 = PULSE_MS + 300;
+/// Ends that a controller names to a peer at most. Far more than users cancel in the longest
+/// outage that leases outlive; beyond it, leases count from the last read alone.
+pub const ENDS_TOLD_MAX: usize = 4_096;
 /// Milliseconds between two looks for leases that have run out: far less than a lease, and more
 /// than a batch of commands takes, since it looks at every machine.
 pub const LAPSE_LOOK_MS: u64 = 100;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -304,37 +304,6 @@
         (s * c::MS_PER_S) as u64 + c::LEASE_MARGIN_MS
     }
 
-    /// Whether workers may be answered: without the state service we may not know of a
-    /// cancellation, and its tasks must be gone within `cancel_s` of it; a worker that we
-    /// answer runs them for one more lease.
-    pub(super) fn may_answer(&self) -> bool {
-        let now = self.now.mono;
-        let Some(known) = self.sync.fresh_at else {
-            return false;
-        };
-        if now - known <= self.blind_ms() {
-            return true;
-        }
-        // If every controller is refused as well, and none has had an answer newer than
-        // what we know, nobody can have told a user of a cancellation.
-        let fresh: Vec<_> = self.fresh_gossip().collect();
-        fresh.len() == self.peers.len()
-            && fresh.iter().all(|g| {
-                g.served_ago_ms.is_none()
-                    && g.max_rev <= self.replica.rev
-                    && g.age_ms > now - known + c::GOSSIP_FRESH_MS
-            })
-    }
-
-    /// Milliseconds after the begin of the last read of the store for which workers may still be
-    /// answered: every lease renewed by then is over when tasks cancelled since must be gone.
-    pub(super) fn blind_ms(&self) -> u64 {
-        let w = &self.cfg.params.workers;
-        let lease = (w.lease_s * (1.0 + c::CLOCK_DRIFT) * c::MS_PER_S) as u64;
-        let cancel = (w.cancel_s * (1.0 - c::CLOCK_DRIFT) * c::MS_PER_S) as u64;
-        cancel.saturating_sub(lease + c::CANCEL_MARGIN_MS)
-    }
-
     /// All workers are silent here while peers see them come round: someone else should lead.
     fn deaf_due(&mut self) {
         let now = self.now.mono;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! order of their rank (workers' reports, then answers and timers, then users' requests),
 //! and gives effects. It does no I/O; the clock and the seed of its randomness are passed in.
 
+mod blind;
 mod commits;
 mod election;
 mod fleet;
@@ -20,6 +21,7 @@
 pub use leader::Leader;
 
 use crate::bookkeeping::budget::Bucket;
+use crate::bookkeeping::records::Name;
 use crate::bookkeeping::replica::Replica;
 use crate::constants as c;
 use crate::protocol::cloud::Catalog;
@@ -27,7 +29,7 @@
 use crate::protocol::users::Spec;
 use crate::settings::{Operator, Platform};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 /// Two clocks in milliseconds: steady, and time of day.
@@ -107,7 +109,7 @@
     Catalog,
     Hosts { begun: u64 },
     Rent(fleet::Rental),
-    Delete(Vec<crate::bookkeeping::records::Name>),
+    Delete(Vec<Name>),
 }
 
 /// Counters and latencies for the operators' view.
@@ -167,6 +169,8 @@
     /// When each worker last reported here.
     workers_seen: HashMap<String, u64>,
     stand_in: standin::StandIn,
+    /// Jobs that are over by the word of peers, ahead of our copy of the store.
+    told_over: HashSet<Name>,
     metrics: Metrics,
     /// Submissions that gather for a batch, and batches on their way.
     gathering: Vec<users::Pending>,
@@ -204,6 +208,7 @@
             term_heard: 0,
             workers_seen: HashMap::new(),
             stand_in: standin::StandIn::new(clock.mono),
+            told_over: HashSet::new(),
             metrics: Metrics::new(),
             gathering: Vec::new(),
             batches: HashMap::new(),
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -12,6 +12,8 @@
     /// What it last vouched for in answer to a question: when that was asked, and a time after
     /// which it has not answered any worker in the leader's place until then.
     pub vouch: Option<(u64, u64)>,
+    /// When the last question was asked in answer to which it named every end that it knows.
+    pub ends_asked: Option<u64>,
     calling: bool,
     next_at: u64,
 }
@@ -39,6 +41,9 @@
             workers_seen: self.workers_seen.values().filter(|t| now - **t <= seen_ms).count()
                 as u32,
             stood_in_ago_ms: now - self.stand_in.last_at(),
+            since: self.asks_since(),
+            ended: Vec::new(),
+            ended_all: false,
         }
     }
 
@@ -74,6 +79,7 @@
         if g.leads {
             self.stand_in.permitted(g.term, begun);
         }
+        self.hear_ends(peer, begun);
     }
 
     /// Takes note of what a peer says; tells which one it is.
@@ -103,7 +109,12 @@
         match (method, path) {
             ("POST", "/gossip") => {
                 if let Some(peer) = self.hear(body) {
-                    let body = encode(&self.gossip());
+                    let mut answer = self.gossip();
+                    let since = self.peers[peer].gossip.as_ref().and_then(|g| g.since);
+                    if let Some(since) = since {
+                        self.name_ends(since, &mut answer);
+                    }
+                    let body = encode(&answer);
                     let now = self.now.mono;
                     if let Some(l) = self.leader.as_mut() {
                         // Our word that we lead permits it to answer workers in our place for a while.
@@ -172,7 +183,10 @@
 
     pub(super) fn relay_answered(&mut self, asker: Asker, reply: Option<(u16, Vec<u8>)>) {
         match reply.and_then(|(s, b)| (s == 200).then(|| decode::<Relayed>(&b).ok()).flatten()) {
-            Some(m) if m.version == c::PEER_VERSION => self.pass_on(asker, m),
+            Some(m) if m.version == c::PEER_VERSION => {
+                self.hear_answer(&m.body);
+                self.pass_on(asker, m)
+            }
             _ => self.unavailable(asker),
         }
     }
--- a/src/coordination/standin.rs
+++ b/src/coordination/standin.rs
@@ -57,8 +57,9 @@
     /// Answers a report in the leader's place.
     pub(super) fn stand_in_for(&mut self, conn: ConnId, report: Report) {
         let over = |load: &str| {
-            let job = parse_task(load).and_then(|(uid, _)| self.replica.jobs.get(uid));
-            job.is_some_and(|j| j.value.stage != Stage::Live)
+            let Some((uid, _)) = parse_task(load) else { return false };
+            let job = self.replica.jobs.get(uid);
+            job.is_some_and(|j| j.value.stage != Stage::Live) || self.told_over.contains(uid)
         };
         // What was cancelled before we were left alone must not outlive its time for that.
         let orders = report
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -1,7 +1,6 @@
 //! Following the state service: the first load, the watch, and zero-wait reads.
 
 use super::*;
-use crate::bookkeeping::records::Name;
 use crate::protocol::state::{changes_path, list_path, Changes, Page};
 
 /// What waits for a read begun after it came.
@@ -221,6 +220,9 @@
                 log::info!("too far behind, reading the store anew");
                 self.replica = Replica::default();
                 self.sync.loaded = false;
+                // What we knew is gone, and with it the ends that peers need not have named.
+                self.sync.fresh_at = None;
+                self.peers.iter_mut().for_each(|p| p.ends_asked = None);
                 self.step_down("lost track of the store");
                 Some(false)
             }
@@ -251,6 +253,7 @@
         match self.apply(&reply) {
             Some(true) => {
                 self.sync.fresh_at = Some(begun);
+                self.forget_told();
                 for w in waiters {
                     self.fresh_done(w, begun);
                 }
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -268,6 +268,7 @@
         if !self.may_answer() {
             return self.elsewhere(h.conn);
         }
+        let may_start = self.may_start();
         let Some(l) = self.leader.as_mut() else {
             return self.elsewhere(h.conn);
         };
@@ -304,12 +305,16 @@
             }
             let job = jobs.get(&id.0);
             let live = job.is_some_and(|j| j.stage == Stage::Live && !j.done.get(id.1));
-            let halt = if live { p.halt } else { Some(Halt::Unwanted) };
+            // Peers' word stops a task, but settles nothing: see `blind`.
+            let told = self.told_over.contains(&id.0);
+            let halt = if live && !told { p.halt } else { Some(Halt::Unwanted) };
             let load = task_name(&id.0, id.1);
             let inherited = p.attempt >> c::ATTEMPT_BITS != term;
             if let Some(halt) = halt {
                 if p.seen.is_none() && p.ordered.is_none() && !inherited {
-                    never_ordered.push(id.clone());
+                    if !live || p.halt.is_some() {
+                        never_ordered.push(id.clone());
+                    }
                     continue;
                 }
                 let saves = job.and_then(|j| j.spec.as_ref()).filter(|s| s.saves());
@@ -318,7 +323,11 @@
                     _ => 0.0,
                 };
                 orders.push(Order::Halt { load, attempt: p.attempt, wind_down_s });
-            } else if p.seen.is_none() && m.life == Life::Up && !m.lapsed && (!inherited || h.ours)
+            } else if may_start
+                && p.seen.is_none()
+                && m.life == Life::Up
+                && !m.lapsed
+                && (!inherited || h.ours)
             {
                 p.ordered = Some(h.newest);
                 starts.push(Order::Start { load, attempt: p.attempt });
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -23,6 +23,15 @@
     /// Milliseconds since the sender last answered a worker in the leader's place, or since it
     /// began if it never did: an earlier life of it may have.
     pub stood_in_ago_ms: u64,
+    /// The sender can't read the store and asks which jobs have ended after this revision.
+    #[serde(default)]
+    pub since: Option<u64>,
+    /// In the answer to that: jobs that have ended, and whether these are all that the sender
+    /// could ever have told a user of.
+    #[serde(default)]
+    pub ended: Vec<String>,
+    #[serde(default)]
+    pub ended_all: bool,
 }
 
 /// A user's request that the receiver is asked to answer.
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -174,6 +174,13 @@
     pub running: u32,
 }
 
+/// What an answer to a user says of a job, as a controller that passes it on reads it.
+#[derive(Deserialize)]
+pub struct Told<'a> {
+    pub uid: &'a str,
+    pub status: Status,
+}
+
 /// Body of every refusal.
 #[derive(Serialize)]
 pub struct Refusal<'a> {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -15,6 +15,9 @@
 pub const REPORT_MS: u64 = 2_000;
 pub const LEASE_MS: u64 = 12_000;
 pub const CANCEL_MS: u64 = 30_000;
+/// Milliseconds after a cancellation was confirmed within which a start order for its tasks may
+/// still arrive: controllers read the store within 2 s, or know that they did not.
+const START_MS: u64 = 2_100;
 const WORKER_TIMEOUT_MS: u64 = 4_000;
 
 /// What is on its way to whom.
@@ -53,6 +56,10 @@
     pub cut_state: bool,
     /// Nothing passes between it and its peers.
     pub cut_peers: bool,
+    /// What it asks of its peers is held on the way until then.
+    pub held_until: u64,
+    /// It stands still until then: nothing is read, no timer fires.
+    pub frozen_until: u64,
 }
 
 #[derive(Clone)]
@@ -84,6 +91,8 @@
     pub outage: bool,
     /// Share of commits that are carried out late, and of answers that are lost.
     pub late_commits: f64,
+    /// Share of commits that get no answer and are carried out 2 to 12 s later.
+    pub late_writes: f64,
     pub lost_answers: f64,
     /// Watches tell nothing before their time is up.
     pub slow_watches: bool,
@@ -254,6 +263,10 @@
     pub held_until: Option<u64>,
     /// Its reports arrive, but no answer reaches it.
     pub deaf: bool,
+    /// No controller hears it.
+    pub mute: bool,
+    /// The machine hangs until then: it executes nothing, reads nothing and sends nothing.
+    pub hung_until: u64,
     /// Fails every task that it starts.
     pub sick: bool,
     pub dead: bool,
@@ -269,6 +282,12 @@
         self.in_flight = None;
     }
 
+    /// It gives up what it waits for and reports to this controller.
+    pub fn turn_to(&mut self, node: usize) {
+        self.node = node;
+        self.in_flight = None;
+    }
+
     pub fn is_on(&self, job: &str) -> bool {
         self.tasks
             .iter()
@@ -408,6 +427,8 @@
                 cut_workers: false,
                 cut_state: false,
                 cut_peers: false,
+                held_until: 0,
+                frozen_until: 0,
             });
         }
         for i in 0..2 {
@@ -651,6 +672,9 @@
     fn node_step(&mut self, i: usize) {
         let now = self.now;
         let n = &mut self.nodes[i];
+        if now < n.frozen_until {
+            return;
+        }
         let late: Vec<u64> =
             n.deadlines.iter().filter(|(_, t)| **t <= now).map(|(c, _)| *c).collect();
         for call in late {
@@ -708,6 +732,12 @@
                         let late =
                             path == "/commit" && self.rng.random_bool(self.state.late_commits);
                         let d = if late { d + self.rng.random_range(1_000..6_000) } else { d };
+                        if path == "/commit" && self.rng.random_bool(self.state.late_writes) {
+                            // Nobody waits for its answer any more when it comes.
+                            let d = self.rng.random_range(2_000..12_000);
+                            return self
+                                .send(d, Msg::ToState { node, life, call, method, path, body });
+                        }
                         let submits = path == "/commit"
                             && String::from_utf8_lossy(&body).contains("mg/2/jobs/");
                         let d =
@@ -721,6 +751,7 @@
                     Service::Peer(p) => {
                         let to = (0..3).filter(|x| *x != node).nth(p).expect("two peers");
                         if !self.nodes[node].cut_peers && !self.nodes[to].cut_peers {
+                            let d = d.max(self.nodes[node].held_until.saturating_sub(self.now));
                             self.send(d, Msg::ToPeer { node, life, call, to, path, body });
                         }
                     }
@@ -937,6 +968,8 @@
                 cut: false,
                 held_until: None,
                 deaf: false,
+                mute: false,
+                hung_until: 0,
                 sick: false,
                 dead: false,
             };
@@ -1021,11 +1054,14 @@
             return;
         }
         if let Some(t) = w.recall_at {
-            if now >= t {
+            if now >= t && now >= w.hung_until {
                 self.kill_machine(name);
                 return;
             }
         }
+        if now < w.hung_until {
+            return;
+        }
         if now > w.lease_from + LEASE_MS {
             w.tasks.clear();
             w.tenure += 1;
@@ -1099,7 +1135,7 @@
             w.in_flight = Some((request, now));
             let node = w.node;
             let d = w.held_until.map_or(d, |t| t.saturating_sub(now).max(d));
-            if !w.cut {
+            if !w.cut && !w.mute {
                 if self.copies > 0.0 && self.rng.random_bool(self.copies) {
                     // A copy from the network: its answer reaches nobody.
                     let (late, to) =
@@ -1147,6 +1183,15 @@
             return;
         };
         let Some((r, sent)) = w.in_flight else { return };
+        if now < w.hung_until {
+            // Read when the machine goes on, unless it was given up by then.
+            let d = w.hung_until - now;
+            if w.hung_until <= sent + WORKER_TIMEOUT_MS {
+                let (worker, body) = (name.to_string(), body.to_vec());
+                self.send(d, Msg::Answer { worker, request, status, body });
+            }
+            return;
+        }
         if r != request || w.cut || w.deaf || w.dead || w.held_until.is_some_and(|t| now < t) {
             return;
         }
@@ -1194,6 +1239,10 @@
                 if list.iter().any(|t| t.attempt == attempt) {
                     return;
                 }
+                let told = self.jobs[job].withdrawn_told;
+                if told.is_some_and(|t| self.now > t + START_MS) {
+                    self.broken.push(format!("started {load} after its cancellation"));
+                }
                 w.changed = true;
                 if list.iter().any(|t| !matches!(t.run, Run::Ended(_))) {
                     list.push(Task { attempt, run: Run::Ended("busy") });
