--- a/tests/random.rs
+++ b/tests/random.rs
@@ -9,6 +9,8 @@
 use world::*;
 
 const SEEDS: u64 = 60;
+/// Names a variable with the number of seeds of a long search.
+const SEEDS_VAR: &str = "MOUNTGAP_SEEDS";
 /// Seeds that once went wrong: 725, placements committed on a machine found gone meanwhile.
 const FOUND: [u64; 1] = [725];
 const TROUBLED_MS: u64 = 90_000;
@@ -16,9 +18,20 @@
 /// it for forgotten after 75 s.
 const FORGOTTEN_MS: u64 = 5_000;
 
+/// Users cancel so many unfinished jobs at one controller.
+fn cancel(w: &mut World, n: usize, node: usize) -> Vec<String> {
+    let live = |j: &Job| j.accepted_at.is_some() && !j.done_told && !j.asked_withdraw;
+    let found: Vec<String> =
+        w.jobs.iter().filter(|(_, j)| live(j)).map(|(uid, _)| uid.clone()).take(n).collect();
+    for uid in &found {
+        w.withdraw(uid, node);
+    }
+    found
+}
+
 fn trouble(w: &mut World) {
     let i = w.rng.random_range(0..3);
-    match w.rng.random_range(0..21) {
+    match w.rng.random_range(0..30) {
         0 => {
             let back = if w.rng.random_bool(0.3) { 100 } else { w.rng.random_range(500..8_000) };
             w.crash(i, back);
@@ -62,6 +75,52 @@
             w.copies = if w.copies > 0.0 { 0.0 } else { 0.2 };
             w.copies_ms = w.rng.random_range(3_000..LEASE_MS * 4);
         }
+        21 => w.state.late_writes = if w.state.late_writes > 0.0 { 0.0 } else { 0.3 },
+        // The state service refuses the leader alone, and soon after it is out for all.
+        22 => {
+            if let Some(l) = w.leader() {
+                w.nodes[l].refused = true;
+                w.nodes[l].cut_peers |= w.rng.random_bool(0.5);
+                let pause = w.rng.random_range(0..3_000);
+                w.run(pause);
+                cancel(w, 3, (l + 1) % 3);
+                w.run(100);
+                if w.rng.random_bool(0.3) {
+                    w.crash((l + 1) % 3, 50);
+                }
+                w.state.outage = true;
+                let long = w.rng.random_range(0..CANCEL_MS + 10_000);
+                w.run(long);
+            }
+        }
+        23 => {
+            let ms = w.rng.random_range(500..LEASE_MS * 3 / 2);
+            w.nodes[i].frozen_until = w.now + ms;
+        }
+        24 => {
+            let ms = w.rng.random_range(1_000..20_000);
+            w.nodes[i].held_until = w.now + ms;
+        }
+        // Leaders change one after the other.
+        25 => {
+            for _ in 0..3 {
+                if let Some(l) = w.leader() {
+                    let back = w.rng.random_range(20..3_000);
+                    w.crash(l, back);
+                }
+                let pause = w.rng.random_range(200..5_000);
+                w.run(pause);
+            }
+        }
+        // Jobs are cancelled and some of their machines hang.
+        26 => {
+            let hang = w.rng.random_range(0..CANCEL_MS * 3 / 2);
+            let until = w.now + hang;
+            for uid in cancel(w, 2, i) {
+                let on = w.workers.values_mut().filter(|x| x.is_on(&uid));
+                on.for_each(|x| x.hung_until = until);
+            }
+        }
         // Beyond the wait for an answer: rentals and deletions are carried out late.
         16 => w.cloud.slow_ms = if w.cloud.slow_ms > 0 { 0 } else { 7_000 },
         k => {
@@ -76,6 +135,15 @@
                 12 => w.workers.get_mut(&name).unwrap().cut ^= true,
                 13 => w.workers.get_mut(&name).unwrap().sick ^= true,
                 19 => w.workers.get_mut(&name).unwrap().deaf ^= true,
+                27 => w.workers.get_mut(&name).unwrap().mute ^= true,
+                28 => {
+                    let ms = w.rng.random_range(500..LEASE_MS * 2);
+                    w.workers.get_mut(&name).unwrap().hung_until = now + ms;
+                }
+                29 => {
+                    let ms = w.rng.random_range(500..LEASE_MS * 2);
+                    w.workers.get_mut(&name).unwrap().held_until = Some(now + ms);
+                }
                 14 => w.kill_machine(&name),
                 _ => w.workers.get_mut(&name).unwrap().recall_at = Some(now + 6_000),
             }
@@ -89,22 +157,29 @@
         n.cut_state = false;
         n.cut_workers = false;
         n.cut_peers = false;
+        n.frozen_until = 0;
     }
     w.zone_cut = None;
     if w.state.outage {
         w.end_outage();
     }
     w.state.late_commits = 0.0;
+    w.state.late_writes = 0.0;
     w.state.lost_answers = 0.0;
     w.late_reports = 0.0;
     // Copies on their way still come.
     w.copies = 0.0;
     w.cloud.down = false;
     w.cloud.slow_ms = 0;
+    w.calm = true;
+    let now = w.now;
+    w.jobs.values_mut().for_each(|j| j.at_ease = now);
     for x in w.workers.values_mut() {
         x.cut = false;
         x.sick = false;
         x.deaf = false;
+        x.mute = false;
+        x.hung_until = 0;
     }
 }
 
@@ -126,6 +201,28 @@
     w.submit(s, run, node);
 }
 
+/// A job that can't run or lacks a field, or what is no job at all.
+fn odd(w: &mut World, n: u64) {
+    let uid = 900_000 + n;
+    let mut s = w.spec(uid, "batch", 2);
+    let fields: Vec<String> = s.as_object().expect("an object").keys().cloned().collect();
+    let nullable = ["uid", "builds", "yard", "due_s"];
+    let field = fields[w.rng.random_range(0..fields.len())].clone();
+    match w.rng.random_range(0..4) {
+        0 => s["gpus"] = json!(9.0),
+        1 => s["crew"] = json!("nobody"),
+        2 => s["yard"] = json!("nowhere"),
+        _ if nullable.contains(&field.as_str()) => s["loads"] = json!(0),
+        _ => {
+            s.as_object_mut().expect("an object").remove(&field);
+        }
+    }
+    let node = w.rng.random_range(0..3);
+    let name = s["uid"].as_str().expect("an id").to_string();
+    w.submit(s, 1_000, node);
+    w.jobs.get_mut(&name).expect("just asked").odd = true;
+}
+
 fn story(seed: u64) -> (u32, usize) {
     let mut w = World::new(seed);
     w.run(3_000);
@@ -152,6 +249,17 @@
                 let node = w.rng.random_range(0..3);
                 w.submit(spec, run, node);
             }
+            7 if w.rng.random_bool(0.3) => odd(&mut w, n),
+            // A cancellation, a question and a repeat at the end of a job's last task.
+            8 if n > 0 => {
+                let ends = |j: &Job| j.done_tasks.len() as u32 >= j.loads && !j.done_told;
+                let found = w.jobs.iter().find(|(_, j)| ends(j)).map(|(u, _)| u.clone());
+                if let Some(uid) = found {
+                    let node = w.rng.random_range(0..3);
+                    w.withdraw(&uid, node);
+                    w.poll(&uid, (node + 1) % 3);
+                }
+            }
             _ => {
                 let uid = format!("job-{:06}", w.rng.random_range(1..=n + 2));
                 let node = w.rng.random_range(0..3);
@@ -201,11 +309,12 @@
 
 #[test]
 fn no_seed_breaks_a_rule() {
+    let seeds = std::env::var(SEEDS_VAR).map_or(SEEDS, |n| n.parse().expect("a number of seeds"));
     // Seeds are independent: a share each for a few threads.
     let threads: Vec<_> = (0..6u64)
         .map(|t| {
             std::thread::spawn(move || {
-                (0..SEEDS)
+                (0..seeds)
                     .chain(FOUND)
                     .filter(|s| s % 6 == t)
                     .map(|s| (s, story(s)))
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -19,6 +19,8 @@
 /// still arrive: controllers read the store within 2 s, or know that they did not.
 const START_MS: u64 = 2_100;
 const WORKER_TIMEOUT_MS: u64 = 4_000;
+/// Milliseconds for which a job may wait beside room for it once troubles are over.
+const WAITING_MS: u64 = 90_000;
 
 /// What is on its way to whom.
 enum Msg {
@@ -288,6 +290,14 @@
         self.in_flight = None;
     }
 
+    /// Tasks that take room.
+    pub fn on(&self) -> impl Iterator<Item = (&str, u32)> {
+        self.tasks
+            .iter()
+            .filter(|(_, v)| v.iter().any(|t| !matches!(t.run, Run::Ended(_))))
+            .map(|((j, n), _)| (j.as_str(), *n))
+    }
+
     pub fn is_on(&self, job: &str) -> bool {
         self.tasks
             .iter()
@@ -319,6 +329,10 @@
     /// Fails wherever it starts.
     pub bad: bool,
     pub starts: u32,
+    /// Can't run or lacks a field: must not be accepted.
+    pub odd: bool,
+    /// When it was last seen not to wait beside room for it.
+    pub at_ease: u64,
 }
 
 impl Job {
@@ -335,6 +349,8 @@
             last_status: String::new(),
             bad: false,
             starts: 0,
+            odd: false,
+            at_ease: 0,
         }
     }
 }
@@ -369,6 +385,8 @@
     /// Share of reports of which a copy comes late, by up to so many milliseconds.
     pub copies: f64,
     pub copies_ms: u64,
+    /// All troubles are over: no job is to wait beside room for it any more.
+    pub calm: bool,
     gpu_max: f64,
 }
 
@@ -411,6 +429,7 @@
             late_reports: 0.0,
             copies: 0.0,
             copies_ms: LEASE_MS * 3,
+            calm: false,
             gpu_max: 12.0,
         };
         for _ in 0..3 {
@@ -667,6 +686,9 @@
         if self.now.is_multiple_of(100) {
             self.check();
         }
+        if self.calm && self.now.is_multiple_of(1_000) {
+            self.check_waiting();
+        }
     }
 
     fn node_step(&mut self, i: usize) {
@@ -1059,9 +1081,7 @@
                 return;
             }
         }
-        if now < w.hung_until {
-            return;
-        }
+        // One that hangs does so when it goes on, before all else; its tasks are over by then.
         if now > w.lease_from + LEASE_MS {
             w.tasks.clear();
             w.tenure += 1;
@@ -1069,6 +1089,9 @@
             w.in_flight = None;
             w.changed = true;
         }
+        if now < w.hung_until {
+            return;
+        }
         let mut starts = Vec::new();
         let mut dones = Vec::new();
         for ((job, task), attempts) in &mut w.tasks {
@@ -1295,6 +1318,7 @@
         };
         let accepted_before = j.accepted_at.is_some_and(|t| t < at);
         match (kind, status) {
+            ("submit", 200 | 201) if j.odd => broken.push(format!("accepted {uid}: {}", j.spec)),
             ("submit", 200 | 201) => {
                 j.accepted_at.get_or_insert(now);
             }
@@ -1378,6 +1402,62 @@
         self.broken.extend(broken);
     }
 
+    /// Looks for accepted jobs that have a task waiting beside a machine with room for it, their
+    /// team under its limit. Once troubles are over that is not to last for 90 s.
+    pub fn check_waiting(&mut self) {
+        let now = self.now;
+        let room: Vec<(f64, String, bool)> = self
+            .workers
+            .values()
+            .filter(|w| !w.dead && w.recall_at.is_none() && now >= w.hung_until)
+            .map(|w| {
+                let used: f64 =
+                    w.on().map(|(j, _)| self.jobs[j].spec["gpus"].as_f64().unwrap()).sum();
+                (4.0 - used, w.yard.clone(), w.spot)
+            })
+            .collect();
+        let red: f64 = self
+            .workers
+            .values()
+            .flat_map(|w| w.on())
+            .filter(|(j, _)| self.jobs[*j].spec["crew"] == "red")
+            .map(|(j, _)| self.jobs[j].spec["gpus"].as_f64().unwrap())
+            .sum();
+        let mut on: BTreeMap<&str, BTreeMap<&str, u32>> = BTreeMap::new();
+        for w in self.workers.values() {
+            for (j, _) in w.on() {
+                *on.entry(j).or_default().entry(w.yard.as_str()).or_default() += 1;
+            }
+        }
+        let mut waiting = Vec::new();
+        for (uid, j) in &self.jobs {
+            let placed = on.get(uid.as_str());
+            let n: u32 = placed.map_or(0, |z| z.values().sum());
+            let over = j.asked_withdraw || j.accepted_at.is_none() || j.bad;
+            let left = j.loads - (j.done_tasks.len() as u32).min(j.loads);
+            let gpus = j.spec["gpus"].as_f64().unwrap_or(0.0);
+            let limited = j.spec["crew"] == "red" && red + gpus > self.gpu_max + 1e-9;
+            let fits = |(free, yard, spot): &(f64, String, bool)| {
+                let here = placed.and_then(|z| z.get(yard.as_str())).copied().unwrap_or(0);
+                *free >= gpus
+                    && (!spot || j.spec["lendables"] == true)
+                    && j.spec["yard"].as_str().is_none_or(|y| y == yard)
+                    && (j.spec["apart"] != true || here < j.loads.div_ceil(2))
+                    && (j.spec["together"] != true || here == n)
+            };
+            if !over && n < left && !limited && room.iter().any(fits) {
+                waiting.push(uid.clone());
+            }
+        }
+        for (uid, j) in &mut self.jobs {
+            if !waiting.contains(uid) {
+                j.at_ease = now;
+            } else if now > j.at_ease.max(j.accepted_at.unwrap_or(now)) + WAITING_MS {
+                self.broken.push(format!("waits {uid} beside room for it"));
+            }
+        }
+    }
+
     fn check(&mut self) {
         let mut red = 0.0;
         let mut broken = Vec::new();
