--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -245,7 +245,7 @@
 
 /// A worker with its machine.
 pub struct Worker {
-    yard: String,
+    pub yard: String,
     spot: bool,
     tenure: u64,
     tally: u64,
@@ -331,6 +331,8 @@
     pub starts: u32,
     /// Can't run or lacks a field: must not be accepted.
     pub odd: bool,
+    /// Milliseconds by which each task runs longer than the one before.
+    pub step_ms: u64,
     /// When it was last seen not to wait beside room for it.
     pub at_ease: u64,
 }
@@ -350,6 +352,7 @@
             bad: false,
             starts: 0,
             odd: false,
+            step_ms: 0,
             at_ease: 0,
         }
     }
@@ -635,6 +638,36 @@
         }
     }
 
+    /// All troubles are over: what was accepted stays known, batch jobs come to their end,
+    /// services run in full, and none waits beside room for it.
+    pub fn ends_well(&mut self) {
+        self.calm = true;
+        let now = self.now;
+        self.jobs.values_mut().for_each(|j| j.at_ease = now);
+        self.run(8_000);
+        let kept = |j: &Job| j.accepted_at.is_some() && !j.asked_withdraw;
+        let uids: Vec<String> =
+            self.jobs.iter().filter(|(_, j)| kept(j)).map(|(u, _)| u.clone()).collect();
+        for uid in &uids {
+            let asked: Vec<u64> = (0..3).map(|i| self.poll(uid, i)).collect();
+            self.until(5_000, "known", |w| asked.iter().all(|r| w.status(*r) == 200));
+        }
+        for uid in &uids {
+            if self.jobs[uid].spec["shape"] == "batch" {
+                self.until_done(uid, 240_000);
+            } else {
+                let n = self.jobs[uid].loads as usize;
+                self.until(120_000, "all replicas run", |w| w.running_of(uid) == n);
+            }
+        }
+        self.run(5_000);
+    }
+
+    /// Tasks of a job that run.
+    pub fn running_of(&self, uid: &str) -> usize {
+        self.workers.values().flat_map(|w| w.running()).filter(|(j, _)| j == uid).count()
+    }
+
     /// Whether a job is done, as its user is told by a poll at any controller that is up.
     pub fn until_done(&mut self, uid: &str, ms: u64) {
         let end = self.now + ms;
@@ -1106,7 +1139,8 @@
                         } else if j.done_tasks.contains(task) {
                             t.run = Run::Ended("done");
                         } else {
-                            t.run = Run::Running { left: j.run_ms, begun: now };
+                            let left = j.run_ms.saturating_add(u64::from(*task) * j.step_ms);
+                            t.run = Run::Running { left, begun: now };
                             starts.push((job.clone(), *task));
                         }
                         w.changed = true;
