--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -395,6 +395,11 @@
         b
     }
 
+    /// Whether any task waits for a machine.
+    pub fn anything_waits(&self) -> bool {
+        self.queue.values().filter_map(|uid| self.jobs.get(uid)).any(|j| j.waiting() > 0)
+    }
+
     /// A machine by name, made if it is new.
     pub fn machine_entry(&mut self, name: &Name, now: u64) -> &mut Machine {
         if !self.machines.contains_key(name) {
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -47,7 +47,7 @@
 /// Longest wait of the poll loop in milliseconds, so that timers stay live.
 pub const POLL_MAX_MS: u64 = 100;
 
-/// The same while reports, starts or submissions wait for something.
+/// The same while writes or submissions wait for something that no message tells of.
 pub const POLL_SOON_MS: u64 = 10;
 
 // --- the command queue ----------------------------------------------------------
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -74,6 +74,11 @@
         self.gone.contains(name)
     }
 
+    /// A pass found nothing waiting.
+    pub(super) fn none_unmet(&mut self) {
+        self.unmet.clear();
+    }
+
     /// Remembers what a pass found no room for.
     pub(super) fn note_unmet(&mut self, view: &View, plan: &Plan, catalog: &Catalog) {
         let ready_ms = catalog.builds.iter().map(|b| b.ready_s).fold(0.0, f64::max) * c::MS_PER_S;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -165,8 +165,15 @@
         c::FLEET_PERIOD_MS + (self.books.machines.len() as f64 * c::FLEET_MACHINE_MS) as u64
     }
 
-    pub(super) fn hurry(&self) -> bool {
-        !self.held.is_empty() || !self.books.proposals.is_empty()
+    /// When it has to look again at the latest, if nothing comes in before. Answers to commits
+    /// come in; what waits for a pass, for a write to spare or for its longest time does not.
+    pub(super) fn next_wake(&self, now: u64) -> u64 {
+        let writes = self.flight.as_ref().map_or(!self.books.proposals.is_empty(), |f| !f.sent);
+        if writes {
+            return now + c::POLL_SOON_MS;
+        }
+        let held = self.held.iter().map(|h| h.since + c::REPORT_HOLD_MS).min();
+        held.map_or(u64::MAX, |t| t.min(self.plan_at).max(now + 1))
     }
 
     /// Whether a commit that may bring orders for a worker is under way or due.
@@ -276,7 +283,9 @@
         let Some(l) = self.leader.as_mut() else {
             return;
         };
-        l.lapse_at = now + c::LAPSE_LOOK_MS;
+        // No lease that runs now can be over before the oldest of them: until then a look at
+        // every machine would find nothing.
+        let mut oldest = now;
         let mut lapsed = Vec::new();
         for m in l.books.machines.values_mut() {
             let Some(answered) = m.answered_at else {
@@ -285,12 +294,15 @@
             // One whose report waits for its answer is not silent: it was once taken for silent
             // again when it came back, with a start for it on the way, and that task ran twice.
             let last = answered.max(m.received_at.unwrap_or(0));
-            let over = now > last + lease && last <= alone_since;
-            if m.shows_baton && !m.lapsed && m.life == Life::Up && over {
+            let counts = m.shows_baton && !m.lapsed && m.life == Life::Up;
+            if counts && now > last + lease && last <= alone_since {
                 m.lapsed = true;
                 lapsed.push(m.name.clone());
+            } else if counts {
+                oldest = oldest.min(last);
             }
         }
+        l.lapse_at = (oldest + lease + 1).max(now + c::LAPSE_LOOK_MS);
         for name in lapsed {
             log::info!("{name}: silent, its lease has run out");
             l.books.settle_all(&name);
@@ -331,6 +343,12 @@
         };
         l.planned_at = now;
         l.plan_at = now + op.pass_period_ms;
+        if !l.books.anything_waits() && l.shares.len() == cfg.params.teams.len() {
+            // There is nothing to place, to make room for or to reserve.
+            l.reservation = None;
+            l.fleet.none_unmet();
+            return;
+        }
         let mut view = View::build(l, &cfg, &op, &catalog, Clock { mono: now, wall });
         let shares = planner::move_shares(&view.snapshot, l.shares.clone());
         if shares != l.shares {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -241,11 +241,10 @@
 
     /// When the next batch is due at the latest.
     pub fn next_wake(&self) -> u64 {
-        let hurry = !self.gathering.is_empty()
-            || !self.batches.is_empty()
-            || self.leader.as_ref().is_some_and(|l| l.hurry());
-        let soon = if hurry { c::POLL_SOON_MS } else { c::POLL_MAX_MS };
-        self.now.mono + soon
+        let now = self.now.mono;
+        let users = !self.gathering.is_empty() || !self.batches.is_empty();
+        let soon = now + if users { c::POLL_SOON_MS } else { c::POLL_MAX_MS };
+        self.leader.as_ref().map_or(soon, |l| soon.min(l.next_wake(now)))
     }
 
     fn command(&mut self, command: Command) {
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -18,7 +18,7 @@
     pub conn: ConnId,
     machine: Name,
     newest: (u64, u64),
-    since: u64,
+    pub since: u64,
     ours: bool,
     /// Tasks shown as ended, and tasks shown that nothing explains.
     ended: Vec<(String, u64)>,
