Impossible figures in reports overflow no time, and a story of bad input on every side

Found by the story: a report with a notice of 1e300 s or the largest tally ended a process that checks overflow (the release build wrapped round). The story sends nonsense as reports, peers' messages, relays, submissions and answers of the state service; nothing changes and all goes on.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -360,6 +360,9 @@
 pub const SILENT_DELETE_MS: u64 = 45_000;
 /// Seconds in which the queue of batch work should be worked off, at the least.
 pub const DRAIN_TARGET_S: f64 = 45.0;
+/// Seconds of notice believed at the most: clouds give seconds or minutes, and a nonsense figure
+/// must not overflow a time.
+pub const RECALL_MOST_S: f64 = 86_400.0;
 /// Milliseconds after its time at which a silent machine that was to be taken is deleted.
 pub const RECALL_PAST_MS: u64 = 500;
 /// Seconds before a spot machine is taken at which tasks that can save are told to, beyond
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -64,7 +64,7 @@
             Some(l) if own(&l.value) => l.stamp,
             Some(_) => return,
         };
-        let term = self.replica.term().max(self.term_heard) + 1;
+        let term = self.replica.term().max(self.term_heard).saturating_add(1);
         let rec = LeaderRec { label: self.cfg.label.clone(), incarnation: self.incarnation, term };
         let commit = Commit {
             conditions: vec![
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -116,7 +116,7 @@
         // shows that an answer has arrived.
         let answered_last = received.is_some_and(|r| answered.is_some_and(|a| a >= r));
         let wait = (c::WORKER_WAIT_S * c::MS_PER_S) as u64;
-        let follows = id == (before.0, before.1 + 1);
+        let follows = id == (before.0, before.1.saturating_add(1));
         let heard = answered_last && follows && received.is_some_and(|r| now < r + wait);
         let heeded = heard || ours && !m.shows_baton;
         m.shows_baton |= ours;
@@ -125,9 +125,10 @@
             // A worker that an answer reaches keeps its session.
             signs += c::DEAF_SESSION_SIGNS;
         }
-        signs += u32::from(answered_last && report.tally > before.1 + 1);
+        signs += u32::from(answered_last && report.tally > before.1.saturating_add(1));
         let recalled = m.recall_at.is_some();
-        m.recall_at = report.recall_s.map(|s| now + (s.max(0.0) * c::MS_PER_S) as u64);
+        let notice = |s: f64| (s.clamp(0.0, c::RECALL_MOST_S) * c::MS_PER_S) as u64;
+        m.recall_at = report.recall_s.map(|s| now + notice(s));
         if m.recall_at.is_some() && !recalled {
             log::info!("{name}: to be taken in {:.0} s", report.recall_s.unwrap_or(0.0));
         }
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -681,3 +681,59 @@
         }
     }
 }
+
+#[test]
+fn bad_input_on_any_side_ends_no_process_and_changes_nothing() {
+    for seed in SEEDS {
+        let mut w = busy(seed);
+        let good = json!({"stead": "n-000077", "address": "x", "build": "g4", "yard": "a",
+            "lendables": false, "tenure": 1, "tally": 1, "baton": 0, "recall_s": null, "loads": []});
+        let odd = [
+            ("stead", json!(7)),
+            ("tenure", json!(-1)),
+            ("tenure", json!(u64::MAX)),
+            ("tally", json!(u64::MAX)),
+            ("tally", json!(1.5)),
+            ("recall_s", json!(1e300)),
+            ("recall_s", json!(-1e300)),
+            ("loads", json!(null)),
+            ("loads", json!([{"load": "job-000001", "try": 1, "status": "running"}])),
+            ("loads", json!([{"load": "job-000001/x", "try": 1, "status": "running"}])),
+            (
+                "loads",
+                json!([{"load": "job-000001/4294967295", "try": u64::MAX, "status": "running"}]),
+            ),
+            ("loads", json!([{"load": "job-000001/0", "try": 1, "status": "asleep"}])),
+            ("build", json!("no such type")),
+        ];
+        for i in 0..3 {
+            let mut bodies: Vec<String> = NONSENSE.iter().map(|b| b.to_string()).collect();
+            for (n, (field, value)) in odd.iter().enumerate() {
+                let mut b = good.clone();
+                b["stead"] = json!(format!("n-{:06}", 900 + n));
+                b[*field] = value.clone();
+                bodies.push(b.to_string());
+                // And once more, as a second report.
+                b["baton"] = json!(1);
+                b["tally"] = json!(b["tally"].as_u64().unwrap_or(1).saturating_add(1));
+                bodies.push(b.to_string());
+            }
+            for b in bodies {
+                let (path, body) = ("/checkin".to_string(), b.clone().into_bytes());
+                let r = w.ask(i, "job-000099", "other", "POST", path, body.clone());
+                w.from_peer(i, "/gossip", &body);
+                w.from_peer(i, "/relay", &body);
+                w.ask(i, "job-000099", "other", "POST", "/v1/jobs".into(), body);
+                w.run(30);
+                let status = w.status(r);
+                assert!([200, 400, 421, 503].contains(&status) || status == 0, "{status} for {b}");
+            }
+        }
+        w.state.nonsense = 0.2;
+        w.run(10_000);
+        w.state.nonsense = 0.0;
+        w.run(8_000);
+        w.withdraw("job-000002", 1);
+        w.ends_well();
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -22,6 +22,22 @@
 /// Milliseconds for which a job may wait beside room for it once troubles are over.
 const WAITING_MS: u64 = 90_000;
 
+/// Bodies with missing or impossible fields.
+pub const NONSENSE: [&str; 12] = [
+    "",
+    "null",
+    "[]",
+    "{}",
+    "3",
+    "\u{fffd}",
+    r#"{"ledger_rev":-1,"events":[]}"#,
+    r#"{"ledger_rev":"7","events":{}}"#,
+    r#"{"ledger_rev":1e300,"items":[{}],"has_next":true}"#,
+    r#"{"items":[{"key":"mg/2/jobs/x","data":7,"stamp":-3}],"has_next":1}"#,
+    r#"{"tenancy":null,"failed":3}"#,
+    r#"{"steads":[{"uid":3}],"builds":[{"sku":null}],"has_next":false}"#,
+];
+
 /// What is on its way to whom.
 enum Msg {
     ToState { node: usize, life: u64, call: u64, method: String, path: String, body: Vec<u8> },
@@ -109,6 +125,8 @@
     pub forgot: u64,
     /// Answers 429.
     pub busy: bool,
+    /// Share of answers that are nonsense.
+    pub nonsense: f64,
 }
 
 impl State {
@@ -999,7 +1017,20 @@
         }
         let late = if path == "/commit" { self.state.slow_commits } else { 0 };
         let d = self.hop() + late;
-        self.send(d, Msg::Reply { node, life, call, status, body: v.to_string().into_bytes() });
+        let body = match self.rng.random_bool(self.state.nonsense) {
+            true => NONSENSE[self.rng.random_range(0..NONSENSE.len())].into(),
+            false => v.to_string().into_bytes(),
+        };
+        self.send(d, Msg::Reply { node, life, call, status, body });
+    }
+
+    /// Something that is no message of a peer reaches a controller from where its peers are.
+    pub fn from_peer(&mut self, node: usize, path: &str, body: &[u8]) {
+        let n = &mut self.nodes[node];
+        let conn = n.next_conn;
+        n.next_conn += 1;
+        let (path, body) = (path.to_string(), body.to_vec());
+        n.inbox.push(Command::Peer { conn, method: "POST".into(), path, body });
     }
 
     // --- cloud ----------------------------------------------------------------------
