--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -721,8 +721,8 @@
             for b in bodies {
                 let (path, body) = ("/checkin".to_string(), b.clone().into_bytes());
                 let r = w.ask(i, "job-000099", "other", "POST", path, body.clone());
-                w.from_peer(i, "/gossip", &body);
-                w.from_peer(i, "/relay", &body);
+                w.peer_says(i, "/gossip", &body);
+                w.peer_says(i, "/relay", &body);
                 w.ask(i, "job-000099", "other", "POST", "/v1/jobs".into(), body);
                 w.run(30);
                 let status = w.status(r);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1025,7 +1025,7 @@
     }
 
     /// Something that is no message of a peer reaches a controller from where its peers are.
-    pub fn from_peer(&mut self, node: usize, path: &str, body: &[u8]) {
+    pub fn peer_says(&mut self, node: usize, path: &str, body: &[u8]) {
         let n = &mut self.nodes[node];
         let conn = n.next_conn;
         n.next_conn += 1;
