--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -81,6 +81,30 @@
     }
 }
 
+#[test]
+fn a_thousand_jobs_that_end_at_once_are_named_in_one_message_and_more_are_not_vouched_for() {
+    for (ends, kept) in [(1_000, 3), (5_000, 0)] {
+        let mut w = busy(1);
+        accepted(&mut w, 9, "batch", 1, 500);
+        w.until_done("job-000009", 20_000);
+        let end = w.state.get("mg/2/end/job-000009").expect("it ended").clone();
+        let old = w.leader().expect("leads");
+        w.nodes[old].refused = true;
+        for n in 0..ends {
+            w.state.put(&format!("mg/2/end/job-{:06}", 500_000 + n), end.clone());
+        }
+        let r = w.withdraw("job-000002", (old + 1) % 3);
+        w.until(1_500, "confirmed", |w| w.status(r) == 200);
+        w.run(100);
+        w.state.outage = true;
+        w.run(CANCEL_MS + 5_000);
+        assert!(w.peer_answer_max < 64 * 1024, "{} bytes", w.peer_answer_max);
+        assert_eq!(running(&w), kept, "after {ends} ends");
+        gap_over(&mut w, old);
+        serves(&mut w);
+    }
+}
+
 #[test]
 fn a_leader_refused_alone_and_cut_from_its_peers_lets_leases_end_in_time() {
     for seed in SEEDS {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -417,6 +417,8 @@
     pub copies_ms: u64,
     /// All troubles are over: no job is to wait beside room for it any more.
     pub calm: bool,
+    /// Bytes of the longest answer of a controller to another.
+    pub peer_answer_max: usize,
     gpu_max: f64,
 }
 
@@ -460,6 +462,7 @@
             copies: 0.0,
             copies_ms: LEASE_MS * 3,
             calm: false,
+            peer_answer_max: 0,
             gpu_max: 12.0,
         };
         for _ in 0..3 {
@@ -800,6 +803,7 @@
                     Some(Conn::Peer { node: to, life, call })
                         if !cut_peers && !self.nodes[to].cut_peers =>
                     {
+                        self.peer_answer_max = self.peer_answer_max.max(body.len());
                         self.send(d, Msg::Reply { node: to, life, call, status, body })
                     }
                     _ => {}
