--- a/src/constants.rs
+++ b/src/constants.rs
@@ -278,6 +278,9 @@
 /// One in so many of the free places goes to jobs that have waited too long: enough that
 /// they end, and little enough that others are not late for them.
 pub const AGED_PLACES: usize = 4;
+/// Parts of what the whole fleet does in a millisecond, in which jobs' work is ordered: a heap
+/// takes no fractions.
+pub const WORK_UNITS: f64 = 1e6;
 /// Milliseconds from now beyond which a later place tells nothing: estimates are too wrong.
 pub const CLAIM_HORIZON_MS: u64 = 90_000;
 /// Milliseconds a started task is left alone before it may be stopped for others: a
--- a/src/coordination/lateness.rs
+++ b/src/coordination/lateness.rs
@@ -34,7 +34,7 @@
             };
             let mine = room.work(job, total);
             work += mine;
-            kept.push(((mine * MICRO) as u64, n));
+            kept.push(((mine * c::WORK_UNITS) as u64, n));
             if room.time_for(work).saturating_add(job.run_ms) <= *left {
                 continue;
             }
@@ -57,9 +57,6 @@
     missed
 }
 
-/// Work is compared in millionths of the fleet's.
-const MICRO: f64 = 1e6;
-
 /// What the machines can do for work that ends.
 struct Room {
     /// From a time on, in milliseconds from now: what was done by then, and how fast it goes
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -7,7 +7,7 @@
 use super::*;
 use crate::bookkeeping::books::*;
 use crate::bookkeeping::records::*;
-use crate::protocol::users::Shape;
+use crate::protocol::users::{Rank, Shape};
 use crate::protocol::workers::{Cause, TaskStatus};
 use crate::protocol::Resources;
 use std::collections::BTreeMap;
@@ -387,6 +387,20 @@
     }
 }
 
+/// What a pass needs to know of a job for each of its placements.
+struct Facts {
+    rank: Rank,
+    team: Option<usize>,
+    need: Resources,
+    bandwidth: f64,
+    run: u64,
+    standing: bool,
+    saves: bool,
+    kit: usize,
+    size_gb: f64,
+    halt_ms: u64,
+}
+
 /// A snapshot with the names behind its indices.
 pub(crate) struct View {
     pub snapshot: Snapshot,
@@ -397,7 +411,13 @@
 }
 
 impl View {
-    fn build(l: &Leader, cfg: &Platform, op: &Operator, catalog: &Catalog, clock: Clock) -> View {
+    fn build<'a>(
+        l: &'a Leader,
+        cfg: &Platform,
+        op: &Operator,
+        catalog: &Catalog,
+        clock: Clock,
+    ) -> View {
         let now = clock.mono;
         let books = &l.books;
         let mut zones: Vec<&str> = Vec::new();
@@ -409,11 +429,13 @@
         let zone_of = |y: &str| zones.iter().position(|z| *z == y);
         let sku_of = |s: &str| catalog.builds.iter().position(|b| b.sku == s);
         let team_of = |t: &str| cfg.params.teams.iter().position(|x| x.name == t);
-        let mut kits: HashMap<String, usize> = HashMap::new();
-        let mut kit_of = |k: &str| {
+        let mut kits: HashMap<&str, usize> = HashMap::new();
+        let mut kit_of = |k: &'a str| {
             let n = kits.len();
-            *kits.entry(k.to_string()).or_insert(n)
+            *kits.entry(k).or_insert(n)
         };
+        // What all placements of a job share is worked out once a job, not once a placement.
+        let mut facts: HashMap<&Name, Option<Facts>> = HashMap::new();
         let silent = (cfg.params.workers.report_s * c::SILENT_PERIODS * c::MS_PER_S) as u64;
         let slots = c::HTTP_BODY_MAX / c::REPORT_TASK_BYTES;
 
@@ -475,23 +497,32 @@
                 if p.ended.is_some() {
                     continue;
                 }
-                let Some(job) = books.jobs.get(&id.0) else {
-                    continue;
-                };
-                let Some(spec) = &job.spec else { continue };
-                let run = l.run_ms(spec);
-                let standing = spec.shape == Shape::Standing;
-                let fetch = (spec.size_gb * per_gb) as u64;
-                let there = p.running_since.is_some();
-                if !there {
-                    let kit = kit_of(&spec.kit);
+                let fact = facts.entry(&id.0).or_insert_with(|| {
+                    let job = books.jobs.get(&id.0)?;
+                    let spec = job.spec.as_ref()?;
+                    Some(Facts {
+                        rank: spec.rank,
+                        team: team_of(&spec.crew),
+                        need: job.need,
+                        bandwidth: spec.cores * op.bandwidth(&spec.duty),
+                        run: l.run_ms(spec),
+                        standing: spec.shape == Shape::Standing,
+                        saves: spec.saves(),
+                        kit: kit_of(&spec.kit),
+                        size_gb: spec.size_gb,
+                        halt_ms: (spec.mark_cost_s * c::MS_PER_S) as u64 + silent / 2,
+                    })
+                });
+                let Some(fact) = fact else { continue };
+                let Facts { run, standing, kit, halt_ms, .. } = *fact;
+                let fetch = (fact.size_gb * per_gb) as u64;
+                if p.running_since.is_none() {
                     let left = (p.placed_at + fetch).saturating_sub(now);
                     if !held.iter().any(|(k, _)| *k == kit) {
                         held.push((kit, left));
                     }
                 }
                 let ran = p.running_since.map(|t| now - t);
-                let halt_ms = (spec.mark_cost_s * c::MS_PER_S) as u64 + silent / 2;
                 let end = if p.halt.is_some() {
                     now + halt_ms
                 } else if standing {
@@ -507,14 +538,14 @@
                 };
                 handles.push(id.clone());
                 running.push(Running {
-                    rank: spec.rank,
-                    team: team_of(&spec.crew),
-                    need: job.need,
-                    bandwidth: spec.cores * op.bandwidth(&spec.duty),
+                    rank: fact.rank,
+                    team: fact.team,
+                    need: fact.need,
+                    bandwidth: fact.bandwidth,
                     end,
                     standing,
                     ran_ms: ran,
-                    saves: spec.saves(),
+                    saves: fact.saves,
                     halting: p.halt.is_some(),
                     halt_ms,
                     handle: handles.len() - 1,
