--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -761,3 +761,25 @@
         w.ends_well();
     }
 }
+
+#[test]
+fn placements_stored_on_a_machine_that_was_found_gone_meanwhile_start_elsewhere() {
+    for seed in SEEDS {
+        let mut w = busy(seed);
+        let before = w.state.under("mg/2/jobs/").len();
+        let s = w.spec(3, "batch", 3);
+        w.submit(s, 2_000, 0);
+        w.until(2_000, "accepted", |w| w.state.under("mg/2/jobs/").len() > before);
+        // The commit that places its tasks is under way until their machines are known to be gone.
+        w.state.late_writes = 1.0;
+        w.run(500);
+        for name in w.workers.keys().cloned().collect::<Vec<_>>() {
+            w.kill_machine(&name);
+        }
+        w.run(11_000);
+        w.state.late_writes = 0.0;
+        w.run(13_000);
+        w.withdraw("job-000002", 1);
+        w.ends_well();
+    }
+}
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -11,7 +11,8 @@
 const SEEDS: u64 = 200;
 /// Names a variable with the number of seeds of a long search.
 const SEEDS_VAR: &str = "MOUNTGAP_SEEDS";
-/// Seeds that once went wrong: 725, placements committed on a machine found gone meanwhile.
+/// Seeds that once went wrong: 725, placements committed on a machine found gone meanwhile. That was
+/// with the draws of its time; a story in `meetings.rs` meets it now, whatever is drawn here.
 const FOUND: [u64; 1] = [725];
 const TROUBLED_MS: u64 = 90_000;
 /// Milliseconds after the last trouble by which a question about a job is answered: users hold
