Stories: one way to ask whether all stay known, to count what runs, and to keep when done was told

Read once more. The end of the random story and ends_well asked the same question in two loops: World::all_stay_known serves both, and ends_well now asks about cancelled jobs too. Three files had the same count of running tasks: World::running. Whether and when a job was told to be done were two fields, and so were calm and its begin: one each. is_on goes through on.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -24,10 +24,6 @@
     w
 }
 
-fn running(w: &World) -> usize {
-    w.workers.values().map(|x| x.running().len()).sum()
-}
-
 fn all_done(w: &mut World) {
     for n in 1..=JOBS {
         w.until_done(&format!("job-{n:06}"), 240_000);
@@ -43,7 +39,7 @@
     let mut w = filled();
     let all = JOBS as usize * TASKS as usize;
     let before = w.state.changes;
-    w.until(30_000, "all run", |w| running(w) == all);
+    w.until(30_000, "all run", |w| w.running() == all);
     let changes = w.state.changes - before;
     assert!(changes < all / 20, "{changes} changes for {all} starts");
     // All end, one is back in the middle of the others' ends, and all workers come over at once.
@@ -62,7 +58,7 @@
 fn a_third_of_a_fleet_that_falls_silent_is_neither_returned_nor_rented_anew() {
     let mut w = filled();
     let all = JOBS as usize * TASKS as usize;
-    w.until(30_000, "all run", |w| running(w) == all);
+    w.until(30_000, "all run", |w| w.running() == all);
     let cut: Vec<String> = w.workers.keys().step_by(3).cloned().collect();
     let back = w.now + LEASE_MS + 3_000;
     // Their reports are held on the way, and all come at once in the end, with copies later still.
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -18,21 +18,17 @@
     w.submit(s, u64::MAX, 0);
     let s = w.spec(2, "batch", 2);
     w.submit(s, 200_000, 1);
-    w.until(15_000, "all run", |w| running(w) == 5);
+    w.until(15_000, "all run", |w| w.running() == 5);
     w
 }
 
-fn running(w: &World) -> usize {
-    w.workers.values().map(|x| x.running().len()).sum()
-}
-
 fn runs(w: &World, job: &str) -> bool {
     w.workers.values().any(|x| x.is_on(job))
 }
 
 /// The state service refuses the leader alone, another controller confirms the cancellation
-/// of job-000002, and right after it nobody is served. Gives the leader and the other.
-fn gap(w: &mut World) -> (usize, usize) {
+/// of job-000002, and right after it nobody is served. Gives the leader.
+fn gap(w: &mut World) -> usize {
     let old = w.leader().expect("leads");
     let other = (old + 1) % 3;
     w.nodes[old].refused = true;
@@ -40,7 +36,7 @@
     let r = w.withdraw("job-000002", other);
     w.until(1_000, "confirmed", |w| w.status(r) == 200);
     w.state.outage = true;
-    (old, other)
+    old
 }
 
 fn gap_over(w: &mut World, old: usize) {
@@ -64,17 +60,17 @@
 fn serves(w: &mut World) {
     accepted(w, 3, "batch", 3, 1_000);
     w.until_done("job-000003", 60_000);
-    w.until(60_000, "the service runs", |w| running(w) == 3);
+    w.until(60_000, "the service runs", |w| w.running() == 3);
 }
 
 #[test]
 fn a_leader_refused_alone_stops_what_a_peer_says_is_over_and_keeps_the_rest() {
     for seed in SEEDS {
         let mut w = busy(seed);
-        let (old, _) = gap(&mut w);
+        let old = gap(&mut w);
         w.until(REPORT_MS * 3, "its tasks are stopped", |w| !runs(w, "job-000002"));
         w.run(CANCEL_MS * 2);
-        assert_eq!(running(&w), 3, "seed {seed}: the service runs all through the outage");
+        assert_eq!(w.running(), 3, "seed {seed}: the service runs all through the outage");
         assert_eq!(w.jobs["job-000001"].starts, 3, "seed {seed}: and lost no lease");
         gap_over(&mut w, old);
         serves(&mut w);
@@ -100,7 +96,7 @@
         w.run(CANCEL_MS + 5_000);
         // 4,096 names of eleven bytes.
         assert!(w.peer_answer_max < 48 * 1024, "{} bytes", w.peer_answer_max);
-        assert_eq!(running(&w), kept, "after {ends} ends");
+        assert_eq!(w.running(), kept, "after {ends} ends");
         gap_over(&mut w, old);
         serves(&mut w);
     }
@@ -115,7 +111,7 @@
         gap(&mut w);
         // The checker sees that nothing of the cancelled job is left when its time is up.
         w.run(CANCEL_MS + 5_000);
-        assert_eq!(running(&w), 0, "seed {seed}: what nobody vouches for is not kept");
+        assert_eq!(w.running(), 0, "seed {seed}: what nobody vouches for is not kept");
         w.nodes[old].cut_peers = false;
         gap_over(&mut w, old);
         serves(&mut w);
@@ -197,7 +193,7 @@
         }
         w.run(8_000);
         assert_eq!(w.jobs["job-000004"].starts, 0, "seed {seed}");
-        assert_eq!(running(&w), 5, "seed {seed}: leases are still renewed");
+        assert_eq!(w.running(), 5, "seed {seed}: leases are still renewed");
         w.nodes[old].cut_peers = false;
         gap_over(&mut w, old);
         w.run(5_000);
@@ -255,7 +251,7 @@
         }
         w.run(2_000);
         w.state.slow_commits = 0;
-        let (old, _) = gap(&mut w);
+        let old = gap(&mut w);
         for _ in 0..20 {
             for i in 0..3 {
                 w.poll("job-000002", i);
@@ -284,7 +280,7 @@
             w.crash(i, back);
         }
         w.run(9_000);
-        assert_eq!(running(&w), 5, "seed {seed}: {}", w.view());
+        assert_eq!(w.running(), 5, "seed {seed}: {}", w.view());
         let starts = (w.jobs["job-000001"].starts, w.jobs["job-000002"].starts);
         assert_eq!(starts, (3, 2), "seed {seed}: no lease was lost, nothing started anew");
         w.withdraw("job-000002", 0);
@@ -299,7 +295,7 @@
         // Twelve GPUs are the limit: seven more run, and four wait.
         accepted(&mut w, 3, "standing", 7, u64::MAX);
         accepted(&mut w, 4, "standing", 4, u64::MAX);
-        w.until(40_000, "at the limit", |w| running(w) == 12);
+        w.until(40_000, "at the limit", |w| w.running() == 12);
         let cut: Vec<String> = w.workers.keys().take(2).cloned().collect();
         cut.iter().for_each(|n| w.workers.get_mut(n).expect("there").cut = true);
         let l = w.leader().expect("leads");
@@ -348,7 +344,7 @@
             w.crash(i, LEASE_MS + 2_000 + 700 * i as u64);
         }
         w.run(LEASE_MS + 1_000);
-        assert_eq!(running(&w), 0, "seed {seed}: leases are over");
+        assert_eq!(w.running(), 0, "seed {seed}: leases are over");
         w.copies = 0.0;
         w.run(10_000);
         w.withdraw("job-000002", 1);
@@ -507,7 +503,7 @@
         w.until(10_000, "on the machines there are", |w| w.running_of("job-000003") == 3);
         accepted(&mut w, 4, "standing", 4, u64::MAX);
         accepted(&mut w, 5, "standing", 4, u64::MAX);
-        w.until(15_000, "at the limit", |w| running(w) == 12);
+        w.until(15_000, "at the limit", |w| w.running() == 12);
         let begun: Vec<String> = w.workers.keys().take(2).cloned().collect();
         begun.iter().for_each(|n| w.workers.get_mut(n).expect("there").cut = true);
         w.crash(old, 8_000);
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -15,13 +15,10 @@
 /// with the draws of its time; a story in `meetings.rs` meets it now, whatever is drawn here.
 const FOUND: [u64; 1] = [725];
 const TROUBLED_MS: u64 = 90_000;
-/// Milliseconds after the last trouble by which a question about a job is answered: users hold
-/// it for forgotten after 75 s.
-const FORGOTTEN_MS: u64 = 5_000;
 
 /// Users cancel so many unfinished jobs at one controller.
 fn cancel(w: &mut World, n: usize, node: usize) -> Vec<String> {
-    let live = |j: &Job| j.accepted_at.is_some() && !j.done_told && !j.asked_withdraw;
+    let live = |j: &Job| j.accepted_at.is_some() && j.done_told.is_none() && !j.asked_withdraw;
     let found: Vec<String> =
         w.jobs.iter().filter(|(_, j)| live(j)).map(|(uid, _)| uid.clone()).take(n).collect();
     for uid in &found {
@@ -178,9 +175,7 @@
     w.copies = 0.0;
     w.cloud.down = false;
     w.cloud.slow_ms = 0;
-    w.calm = true;
-    let now = w.now;
-    w.jobs.values_mut().for_each(|j| j.at_ease = now);
+    w.calm_since = Some(w.now);
     for x in w.workers.values_mut() {
         x.cut = false;
         x.sick = false;
@@ -259,7 +254,7 @@
             7 if w.rng.random_bool(0.3) => odd(&mut w, n),
             // A cancellation, a question and a repeat at the end of a job's last task.
             8 if n > 0 => {
-                let ends = |j: &Job| j.done_tasks.len() as u32 >= j.loads && !j.done_told;
+                let ends = |j: &Job| j.done_tasks.len() as u32 >= j.loads && j.done_told.is_none();
                 let found = w.jobs.iter().find(|(_, j)| ends(j)).map(|(u, _)| u.clone());
                 if let Some(uid) = found {
                     let node = w.rng.random_range(0..3);
@@ -279,18 +274,7 @@
     // Longer than a crashed controller takes to come back.
     w.run(10_000);
     let uids: Vec<String> = w.jobs.keys().cloned().collect();
-    // Every job that was accepted stays known, each one, to every controller.
-    for uid in &uids {
-        if w.jobs[uid].accepted_at.is_none() {
-            continue;
-        }
-        let asked: Vec<u64> = (0..3).map(|i| w.poll(uid, i)).collect();
-        let limit = w.now + FORGOTTEN_MS;
-        while !asked.iter().all(|r| w.status(*r) == 200) {
-            assert!(w.now < limit, "seed {seed}: {uid} is forgotten: {}", w.view());
-            w.run(100);
-        }
-    }
+    w.all_stay_known(&format!("seed {seed}"));
     for uid in &uids {
         if w.jobs[uid].spec["shape"] == "standing" {
             // Its user may not have heard that it was accepted.
@@ -306,12 +290,15 @@
         if j.spec["shape"] == "standing" || j.accepted_at.is_none() {
             continue;
         }
-        if !j.done_told && j.withdrawn_told.is_none() && !j.asked_withdraw {
+        if j.done_told.is_none() && j.withdrawn_told.is_none() && !j.asked_withdraw {
             w.until_done(uid, 240_000);
         }
     }
     w.run(CANCEL_MS + 1_000);
-    (w.jobs.values().map(|j| j.starts).sum(), w.jobs.values().filter(|j| j.done_told).count())
+    (
+        w.jobs.values().map(|j| j.starts).sum(),
+        w.jobs.values().filter(|j| j.done_told.is_some()).count(),
+    )
 }
 
 #[test]
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -21,17 +21,12 @@
     w
 }
 
-/// Tasks that run on any machine.
-fn running(w: &World) -> usize {
-    w.workers.values().map(|x| x.running().len()).sum()
-}
-
 /// The service of [`with_service`] runs with its three replicas, and a new job is done.
 fn serves(w: &mut World) {
     let s = w.spec(2, "batch", 3);
     w.submit(s, 1_000, 0);
     w.until_done("job-000002", 30_000);
-    assert_eq!(running(w), 3, "the service runs: {}", w.view());
+    assert_eq!(w.running(), 3, "the service runs: {}", w.view());
 }
 
 #[test]
@@ -179,7 +174,7 @@
     w.until(10_000, "a leader", |w| w.leader().is_some());
     w.submit(s, 1_000, 0);
     w.until_done("job-000002", 30_000);
-    let on = running(&w);
+    let on = w.running();
     assert_eq!(on, 3, "the service runs: {}", w.view());
 }
 
@@ -224,7 +219,7 @@
     w.nodes[old].cut_peers = false;
     w.until_done("job-000002", 60_000);
     w.run(10_000);
-    let on = running(&w);
+    let on = w.running();
     assert_eq!(on, 3, "the service runs");
 }
 
@@ -316,7 +311,7 @@
     // It shows the old token for ever: nothing it shows settles anything, only its end does.
     w.run(LEASE_MS * 2 + 40_000);
     assert!(w.is_returned(&name), "replaced: {}", w.view());
-    let on = running(&w);
+    let on = w.running();
     assert_eq!(on, 3, "the service runs elsewhere: {}", w.view());
 }
 
@@ -333,7 +328,7 @@
     let old = w.leader().expect("leads");
     w.crash(old, 200);
     w.run(LEASE_MS * 2 + 20_000);
-    let on = running(&w);
+    let on = w.running();
     assert_eq!(on, 3, "the service runs on machines that are there: {}", w.view());
     let s = w.spec(2, "batch", 6);
     w.submit(s, 2_000, 0);
@@ -353,7 +348,7 @@
     w.run(1_500);
     assert_eq!((w.status(up), w.status(poll)), (503, 503));
     w.run(LEASE_MS * 2);
-    let on = running(&w);
+    let on = w.running();
     assert_eq!(on, 3, "no lease ended for it");
 }
 
@@ -363,7 +358,7 @@
     let mut s = w.spec(1, "standing", 4);
     s["apart"] = json!(true);
     w.submit(s, u64::MAX, 0);
-    w.until(30_000, "runs in both zones", |w| running(w) == 4);
+    w.until(30_000, "runs in both zones", |w| w.running() == 4);
     let inside = (0..3).find(|i| w.leader() != Some(*i)).expect("followers");
     w.cut_zone("b", inside);
     w
@@ -375,10 +370,10 @@
     // service that must be in that zone was down for the whole cut.
     let mut w = zone_b_cut_off();
     w.run(LEASE_MS + LEASE_MS / 2);
-    assert_eq!(running(&w), 4, "kept beyond their lease: {}", w.view());
+    assert_eq!(w.running(), 4, "kept beyond their lease: {}", w.view());
     w.join_zone();
     w.run(LEASE_MS * 2);
-    assert_eq!((running(&w), w.jobs["job-000001"].starts), (4, 4), "and none was started anew");
+    assert_eq!((w.running(), w.jobs["job-000001"].starts), (4, 4), "and none was started anew");
     serves_batch(&mut w);
 }
 
@@ -391,7 +386,7 @@
     w.until(3_000, "withdrawn", |w| w.status(r) == 200);
     // The world's checker wants every task gone in time, also those that nobody can reach.
     w.run(CANCEL_MS + LEASE_MS);
-    assert_eq!(running(&w), 0, "{}", w.view());
+    assert_eq!(w.running(), 0, "{}", w.view());
     w.join_zone();
     serves_batch(&mut w);
 }
@@ -407,10 +402,10 @@
     let mut s = w.spec(1, "batch", 2);
     s["run_guess_s"] = json!(60.0);
     w.submit(s, 60_000, 0);
-    w.until(10_000, "runs in zone b", |w| running(w) == 6);
+    w.until(10_000, "runs in zone b", |w| w.running() == 6);
     let leader = w.leader().expect("leads");
     w.withdraw("job-000003", leader);
-    w.until(10_000, "room in zone a", |w| running(w) == 2);
+    w.until(10_000, "room in zone a", |w| w.running() == 2);
     w.cut_zone("b", (leader + 1) % 3);
     // The checker breaks off where a task starts while it is still on a machine.
     w.until_done("job-000001", 300_000);
@@ -479,7 +474,7 @@
     // Its numbers start anew, so that its reports look like copies of old ones.
     w.workers.get_mut(&name).unwrap().forget();
     w.run(LEASE_MS + 20_000);
-    let on = running(&w);
+    let on = w.running();
     assert_eq!(on, 3, "the service runs: {}", w.view());
 }
 
@@ -613,7 +608,7 @@
     s["yard"] = json!("a");
     s["run_guess_s"] = json!(15.0);
     w.submit(s, 15_000, 0);
-    w.until(10_000, "it runs", |w| running(w) == 1);
+    w.until(10_000, "it runs", |w| w.running() == 1);
     // It alone has the image, and is kept for what can still end on it.
     let end = w.now + 25_000;
     let first = w.workers.keys().next().expect("a machine").clone();
@@ -714,7 +709,7 @@
         w.workers.get_mut(&name).unwrap().cut = false;
         w.run(5_000);
     }
-    let on = running(&w);
+    let on = w.running();
     assert_eq!(on, 3);
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -21,6 +21,9 @@
 const WORKER_TIMEOUT_MS: u64 = 4_000;
 /// Milliseconds for which a job may wait beside room for it once troubles are over.
 const WAITING_MS: u64 = 90_000;
+/// Milliseconds after the last trouble by which a question about a job is answered: users hold
+/// it for forgotten after 75 s.
+const FORGOTTEN_MS: u64 = 5_000;
 
 /// Bodies with missing or impossible fields.
 pub const NONSENSE: [&str; 12] = [
@@ -320,9 +323,7 @@
     }
 
     pub fn is_on(&self, job: &str) -> bool {
-        self.tasks
-            .iter()
-            .any(|((j, _), v)| j == job && v.iter().any(|t| !matches!(t.run, Run::Ended(_))))
+        self.on().any(|(j, _)| j == job)
     }
 
     pub fn running(&self) -> Vec<(String, u32)> {
@@ -343,9 +344,8 @@
     pub run_ms: u64,
     pub accepted_at: Option<u64>,
     pub done_tasks: BTreeSet<u32>,
-    pub done_told: bool,
-    /// When that was first told.
-    pub done_told_at: Option<u64>,
+    /// When its user was first told that it is done.
+    pub done_told: Option<u64>,
     pub withdrawn_told: Option<u64>,
     pub asked_withdraw: bool,
     pub last_status: String,
@@ -370,8 +370,7 @@
             run_ms,
             accepted_at: None,
             done_tasks: BTreeSet::new(),
-            done_told: false,
-            done_told_at: None,
+            done_told: None,
             withdrawn_told: None,
             asked_withdraw: false,
             last_status: String::new(),
@@ -415,8 +414,8 @@
     /// Share of reports of which a copy comes late, by up to so many milliseconds.
     pub copies: f64,
     pub copies_ms: u64,
-    /// All troubles are over: no job is to wait beside room for it any more.
-    pub calm: bool,
+    /// Since when all troubles are over: no job is to wait beside room for it any more.
+    pub calm_since: Option<u64>,
     /// Bytes of the longest answer of a controller to another.
     pub peer_answer_max: usize,
     gpu_max: f64,
@@ -461,7 +460,7 @@
             late_reports: 0.0,
             copies: 0.0,
             copies_ms: LEASE_MS * 3,
-            calm: false,
+            calm_since: None,
             peer_answer_max: 0,
             gpu_max: 12.0,
         };
@@ -672,17 +671,12 @@
     /// All troubles are over: what was accepted stays known, batch jobs come to their end,
     /// services run in full, and none waits beside room for it.
     pub fn ends_well(&mut self) {
-        self.calm = true;
-        let now = self.now;
-        self.jobs.values_mut().for_each(|j| j.at_ease = now);
+        self.calm_since = Some(self.now);
         self.run(8_000);
+        self.all_stay_known("in the end");
         let kept = |j: &Job| j.accepted_at.is_some() && !j.asked_withdraw;
         let uids: Vec<String> =
             self.jobs.iter().filter(|(_, j)| kept(j)).map(|(u, _)| u.clone()).collect();
-        for uid in &uids {
-            let asked: Vec<u64> = (0..3).map(|i| self.poll(uid, i)).collect();
-            self.until(5_000, "known", |w| asked.iter().all(|r| w.status(*r) == 200));
-        }
         for uid in &uids {
             if self.jobs[uid].spec["shape"] == "batch" {
                 self.until_done(uid, 240_000);
@@ -694,6 +688,24 @@
         self.run(5_000);
     }
 
+    /// Every job that was ever accepted stays known, each one, to every controller.
+    pub fn all_stay_known(&mut self, when: &str) {
+        let accepted = self.jobs.iter().filter(|(_, j)| j.accepted_at.is_some());
+        for uid in accepted.map(|(uid, _)| uid.clone()).collect::<Vec<_>>() {
+            let asked: Vec<u64> = (0..3).map(|i| self.poll(&uid, i)).collect();
+            let limit = self.now + FORGOTTEN_MS;
+            while !asked.iter().all(|r| self.status(*r) == 200) {
+                assert!(self.now < limit, "{when}: {uid} is forgotten: {}", self.view());
+                self.run(100);
+            }
+        }
+    }
+
+    /// Tasks that run on any machine.
+    pub fn running(&self) -> usize {
+        self.workers.values().map(|x| x.running().len()).sum()
+    }
+
     /// Tasks of a job that run.
     pub fn running_of(&self, uid: &str) -> usize {
         self.workers.values().flat_map(|w| w.running()).filter(|(j, _)| j == uid).count()
@@ -709,7 +721,7 @@
                 }
             }
             self.run(500);
-            if self.jobs[uid].done_told {
+            if self.jobs[uid].done_told.is_some() {
                 return;
             }
             assert!(self.now < end, "{uid} not done within {ms} ms: {}", self.view());
@@ -750,8 +762,8 @@
         if self.now.is_multiple_of(100) {
             self.check();
         }
-        if self.calm && self.now.is_multiple_of(1_000) {
-            self.check_waiting();
+        if let Some(since) = self.calm_since.filter(|_| self.now.is_multiple_of(1_000)) {
+            self.check_waiting(since);
         }
     }
 
@@ -1426,21 +1438,20 @@
                 if j.withdrawn_told.is_some_and(|t| t < at) {
                     broken.push(format!("went_back {uid}: withdrawn, then done"));
                 }
-                j.done_told = true;
-                j.done_told_at.get_or_insert(now);
+                j.done_told.get_or_insert(now);
             }
             "withdrawn" => {
                 if !j.asked_withdraw {
                     broken.push(format!("went_back {uid}: withdrawn unasked"));
                 }
-                if j.done_told {
+                if j.done_told.is_some() {
                     broken.push(format!("went_back {uid}: done, then withdrawn"));
                 }
                 j.withdrawn_told.get_or_insert(now);
             }
             _ => {
                 // A late answer to an old question is no step back.
-                if j.done_told_at.is_some_and(|t| t < at) {
+                if j.done_told.is_some_and(|t| t < at) {
                     broken.push(format!("went_back {uid}: done, then {told}"));
                 }
                 if j.withdrawn_told.is_some_and(|t| t < at) {
@@ -1489,7 +1500,7 @@
 
     /// Looks for accepted jobs that have a task waiting beside a machine with room for it, their
     /// team under its limit. Once troubles are over that is not to last for 90 s.
-    pub fn check_waiting(&mut self) {
+    fn check_waiting(&mut self, calm_since: u64) {
         let now = self.now;
         let room: Vec<(f64, String, bool)> = self
             .workers
@@ -1537,7 +1548,8 @@
         for (uid, j) in &mut self.jobs {
             if !waiting.contains(uid) {
                 j.at_ease = now;
-            } else if now > j.at_ease.max(j.accepted_at.unwrap_or(now)) + WAITING_MS {
+            } else if now > j.at_ease.max(calm_since).max(j.accepted_at.unwrap_or(now)) + WAITING_MS
+            {
                 self.broken.push(format!("waits {uid} beside room for it"));
             }
         }
