--- a/src/constants.rs
+++ b/src/constants.rs
@@ -126,10 +126,22 @@
 /// Tasks in one stored bitmap of done tasks; its text form is a quarter of this in bytes
 /// and stays well under the smallest value limit seen.
 pub const DONE_CHUNK_TASKS: u32 = 4_096;
+/// Bytes in a kilobyte of the settings.
+pub const BYTES_PER_KB: f64 = 1024.0;
+/// Least bytes of a value that the stored forms can do with: a bitmap of done tasks takes a quarter of
+/// [`DONE_CHUNK_TASKS`] in bytes, beside its name and framing.
+pub const STORE_VALUE_BYTES_MIN: usize = 1_280;
+/// Least puts and deletes of a transaction: an election writes leader and term.
+pub const TRANSACTION_OPS_MIN: usize = 2;
+/// Bytes that a stored placement takes at the most, unless machines have very long names: bounds the
+/// gangs that are accepted, since a gang is placed by one commit.
+pub const PLACEMENT_BYTES_MOST: usize = 64;
 /// Bytes of a group's value kept for its framing.
 pub const GROUP_FRAME_BYTES: usize = 64;
 /// Bytes of one commit kept for its framing and conditions, of the protocol's 64 KiB.
 pub const COMMIT_FRAME_BYTES: usize = 16 * 1024;
+/// Conditions of one commit for each of its changes (protocol).
+pub const CONDITIONS_PER_CHANGE: usize = 4;
 /// Bytes of one commit (protocol).
 pub const COMMIT_BYTES: usize = 64 * 1024;
 /// Bytes that one task takes in a report, rounded up: bounds how many a machine gets, since
@@ -181,6 +193,8 @@
 
 // --- workers --------------------------------------------------------------------
 
+/// Share of the report period by which a report may come early or late (protocol).
+pub const REPORT_JITTER: f64 = 0.25;
 /// Share by which a steady clock may be off, doubled for two clocks (protocol: 0.05%).
 pub const CLOCK_DRIFT: f64 = 0.001;
 /// Milliseconds added whenever a worker's lease is taken to be over: covers packet
@@ -309,6 +323,26 @@
 /// Milliseconds for which a failure counts against a machine.
 pub const FAULTY_WINDOW_MS: u64 = 60_000;
 
+/// Milliseconds that each further machine is taken to delay the start of a gang: its start goes out
+/// with the answer to its report, and the last one decides.
+pub const GANG_MACHINE_MS: u64 = 150;
+/// Milliseconds by which a gang's start may be later than the earliest possible, to look for places on
+/// fewer machines.
+pub const GANG_PATIENCE_MS: [u64; 4] = [0, 500, 1_000, 2_000];
+/// Share of the time that a gang's tasks wait for each other by which their expected starts may
+/// differ: estimates of image fetches are off by a third.
+pub const GANG_SPREAD_SHARE: f64 = 0.6;
+/// Milliseconds between two looks for gangs that can't become complete.
+pub const GANG_SCAN_MS: u64 = 500;
+/// Pause in milliseconds between the starts of a gang's attempts once two have failed before all
+/// tasks ran, doubled each time.
+pub const GANG_RETRY_MS: u64 = 1_000;
+/// Longest such pause in milliseconds.
+pub const GANG_RETRY_MAX_MS: u64 = 30_000;
+/// Machines on which a gang failed that it avoids while it is suspected to fail anywhere; beyond
+/// these it may try every machine again.
+pub const GANG_AVOID_MAX: usize = 6;
+
 // --- fleet ----------------------------------------------------------------------
 
 /// Milliseconds between two reads of the machine list.
--- a/src/coordination/commits.rs
+++ b/src/coordination/commits.rs
@@ -9,36 +9,54 @@
 use super::leader::PendingCommit;
 use super::{Controller, Purpose};
 use crate::constants::{
-    CLEAN_GROUPS, COMMIT_BYTES, COMMIT_FRAME_BYTES, DONE_BATCH_MS, DONE_CHUNK_TASKS,
-    GARBAGE_PERIOD_MS, GROUP_FRAME_BYTES, IMAGES_PERIOD_MS, STATE_CALL_MS, STATE_RETRY_MS,
-    WRITES_SHORT_SHARE, WRITE_RESERVE,
+    COMMIT_BYTES, COMMIT_FRAME_BYTES, CONDITIONS_PER_CHANGE, DONE_BATCH_MS, GARBAGE_PERIOD_MS,
+    GROUP_FRAME_BYTES, IMAGES_PERIOD_MS, STATE_CALL_MS, STATE_RETRY_MS, WRITES_SHORT_SHARE,
+    WRITE_RESERVE,
 };
 use crate::protocol::state::Commit;
 use crate::protocol::state::{raw, Committed, Conflict, If, Write, COMMIT_PATH};
-use crate::protocol::workers::Cause;
 use crate::storage::cluster::*;
 use crate::storage::records::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 
-/// A placement that a commit stores or takes out: group, machine, task, attempt.
+/// A placement that a commit stores or takes out.
 #[derive(Debug, Clone)]
 pub(super) struct Entry {
-    group: u32,
-    machine: Name,
-    id: TaskId,
-    attempt: u64,
-    bytes: usize,
+    /// The group of placements that it is stored in.
+    pub group: u32,
+    /// The machine it is on.
+    pub machine: Name,
+    /// The task.
+    pub id: TaskId,
+    /// Its attempt.
+    pub attempt: u64,
+    /// Bytes that it takes in the group.
+    pub bytes: usize,
+}
+
+/// A placement that a commit moves from one group to another.
+#[derive(Debug, Clone)]
+pub(super) struct Move {
+    /// The group that it has stood in.
+    pub from: u32,
+    /// The placement, with the group that it goes to.
+    pub entry: Entry,
 }
 
 /// A commit being packed.
-struct Packer {
-    ifs: BTreeMap<String, u64>,
-    writes: Vec<Write>,
-    bytes: usize,
-    max_ops: usize,
-    max_ifs: usize,
+pub(super) struct Packer {
+    /// Conditions: key and stamp.
+    pub ifs: BTreeMap<String, u64>,
+    /// Changes so far.
+    pub writes: Vec<Write>,
+    /// Bytes of their values.
+    pub bytes: usize,
+    /// Changes at the most.
+    pub max_ops: usize,
+    /// Conditions at the most.
+    pub max_ifs: usize,
     /// Bytes of one value.
-    cap: usize,
+    pub cap: usize,
 }
 
 impl Packer {
@@ -47,7 +65,12 @@
     }
 
     /// Adds a write that depends on the key's stamp; false if it does not fit.
-    fn put(&mut self, key: String, data: Box<serde_json::value::RawValue>, stamp: u64) -> bool {
+    pub(super) fn put(
+        &mut self,
+        key: String,
+        data: Box<serde_json::value::RawValue>,
+        stamp: u64,
+    ) -> bool {
         let bytes = data.get().len();
         let fits = bytes <= self.cap
             && self.bytes + bytes <= COMMIT_BYTES - COMMIT_FRAME_BYTES
@@ -79,10 +102,18 @@
         let urgent = !l.cluster.proposals.is_empty()
             || !l.cluster.complete.is_empty()
             || l.cluster.groups.values().any(|g| g.urgent);
+        let oversized = l.cluster.has_oversized_group(self.limits.value_bytes);
         if (urgent || batch) && self.served() {
             let left = (self.writes.left(now) - WRITE_RESERVE).max(0.0) as usize;
-            if left > 0 {
-                self.build_commit(batch, left.min(self.cfg.params.state.txn_ops));
+            let most = self.limits.transaction_ops;
+            // To divide a group takes as many writes as there will be parts, so it waits for them.
+            let burst = (self.writes.burst() - WRITE_RESERVE).max(1.0) as usize;
+            let least = match oversized {
+                true => most.min(burst),
+                false => 1,
+            };
+            if left >= least {
+                self.build_commit(batch, left.min(most));
                 self.send_commit();
             }
         }
@@ -91,14 +122,14 @@
     /// Packs what is to be written into one commit, the most urgent first.
     fn build_commit(&mut self, batch: bool, max_ops: usize) {
         let now = self.now.mono;
-        let cap = (self.cfg.params.state.value_kb * 1024.0) as usize;
+        let cap = self.limits.value_bytes;
         let Some(l) = self.leader.as_mut() else { return };
         let mut p = Packer {
             ifs: BTreeMap::from([(leader_key(), l.stamp)]),
             writes: Vec::new(),
             bytes: 0,
             max_ops,
-            max_ifs: self.cfg.params.state.txn_ops * 4,
+            max_ifs: self.limits.transaction_ops * CONDITIONS_PER_CHANGE,
             cap,
         };
         let mut f = PendingCommit::default();
@@ -181,9 +212,9 @@
             // Batches whose jobs are all over, with nothing left on machines.
             let over =
                 |uid: &Name| self.replica.has_ended(uid) && !l.cluster.jobs.contains_key(uid);
-            for (id, batch) in &self.replica.batches {
+            for (key, batch) in &self.replica.batches {
                 if batch.value.iter().all(over) {
-                    l.cluster.garbage.push((batch_key(id), batch.stamp));
+                    l.cluster.garbage.push((key.to_string(), batch.stamp));
                 }
             }
         }
@@ -241,8 +272,18 @@
             Some((status, body)) => {
                 log::error!("commit answered {status}: {}", String::from_utf8_lossy(&body));
                 f.not_before = now + STATE_RETRY_MS;
-                if !f.unclear {
-                    self.commit_dropped();
+                let unclear = f.unclear;
+                if status == 400 {
+                    self.limits.halve_sizes();
+                }
+                match unclear {
+                    // Sent again it would be refused for ever, and built anew it might be stored
+                    // twice. A new term settles that: earlier copies depend on this one's key.
+                    true if status == 400 => {
+                        self.step_down("a commit that may be stored is too large by now")
+                    }
+                    true => {}
+                    false => self.commit_dropped(),
                 }
             }
             None => f.unclear = true,
@@ -338,6 +379,7 @@
             log::debug!("{uid}: done");
             l.cluster.end_job(uid, Stage::Done);
         }
+        l.cluster.moved(f.moves);
         for e in &f.leaves {
             if let Some(g) = l.cluster.groups.get_mut(&e.group) {
                 let key = (e.id.clone(), e.attempt);
@@ -390,162 +432,82 @@
         let dirty: Vec<u32> =
             self.done_groups.iter().filter(|(_, g)| g.dirty).map(|(n, _)| *n).collect();
         for n in dirty {
-            if !p.room(1 + keep, 1) {
-                return;
-            }
-            let Some(g) = self.done_groups.get_mut(&n) else { continue };
-            let mut rec = DoneRec::default();
-            for (uid, chunk) in g.chunks.keys() {
-                if let Some(job) = self.jobs.get(uid) {
-                    rec.bits.insert(chunk_name(uid, *chunk), job.done.chunk_text(*chunk));
-                }
+            if !self.divide_done_group(n, p, f) {
+                continue;
             }
-            if !p.put(done_key(n), raw(&rec), g.stamp) {
+            if !p.room(1 + keep, 1) || !self.pack_done_group(n, p, f) {
                 return;
             }
-            g.dirty = false;
-            f.done_groups.push(n);
-            for (uid, chunk) in g.chunks.keys() {
-                if let Some(job) = self.jobs.get_mut(uid) {
-                    if job.dirty_chunks.remove(chunk) {
-                        f.chunks.push((uid.clone(), *chunk));
-                    }
-                }
-            }
         }
     }
 
-    /// Whether a settled placement may be taken out of the store: what it did must be there.
-    fn may_leave(&self, machine: &Name, id: &TaskId, f: &PendingCommit) -> bool {
-        let cause = self.machines.get(machine).and_then(|m| m.placements.get(id)?.ended);
-        if cause != Some(Cause::Done) || f.finishes.contains(&id.0) {
-            return true;
-        }
-        let chunk = id.1 / DONE_CHUNK_TASKS;
-        self.jobs
-            .get(&id.0)
-            .is_none_or(|j| j.stage != Stage::Live || !j.dirty_chunks.contains(&chunk))
-    }
-
-    /// Starts and settlements. What starts goes to the groups where most room is or has
-    /// fallen free, those first whose settlements are urgent.
-    fn pack_places(&mut self, p: &mut Packer, f: &mut PendingCommit, batch: bool) {
-        let cap = p.cap - GROUP_FRAME_BYTES;
-        let mut leaving: BTreeMap<u32, Vec<Entry>> = BTreeMap::new();
-        let mut fill: BTreeMap<u32, usize> = BTreeMap::new();
-        for (n, g) in &self.groups {
-            let mut bytes = g.bytes;
-            for key in &g.leaving {
-                let Some((machine, len)) = g.tasks.get(key) else { continue };
-                if self.may_leave(machine, &key.0, f) {
-                    bytes -= len;
-                    leaving.entry(*n).or_default().push(Entry {
-                        group: *n,
-                        machine: machine.clone(),
-                        id: key.0.clone(),
-                        attempt: key.1,
-                        bytes: *len,
-                    });
-                }
+    /// Writes one group of bitmaps; false if it does not fit.
+    fn pack_done_group(&mut self, n: u32, p: &mut Packer, f: &mut PendingCommit) -> bool {
+        let Some(group) = self.done_groups.get_mut(&n) else { return true };
+        let mut rec = DoneRec::default();
+        for (uid, chunk) in group.chunks.keys() {
+            if let Some(job) = self.jobs.get(uid) {
+                rec.bits.insert(chunk_name(uid, *chunk), job.done.chunk_text(*chunk));
             }
-            fill.insert(*n, bytes);
-        }
-        let mut chosen: BTreeSet<u32> = BTreeSet::new();
-        let most = p
-            .max_ops
-            .saturating_sub(p.writes.len())
-            .min((COMMIT_BYTES - COMMIT_FRAME_BYTES).saturating_sub(p.bytes) / p.cap.max(1));
-        let ifs_left = p.max_ifs.saturating_sub(p.ifs.len() + most);
-        for (n, g) in &self.groups {
-            if g.urgent && chosen.len() < most {
-                chosen.insert(*n);
+        }
+        if !p.put(done_key(n), raw(&rec), group.stamp) {
+            return false;
+        }
+        group.dirty = false;
+        f.done_groups.push(n);
+        for (uid, chunk) in group.chunks.keys() {
+            if let Some(job) = self.jobs.get_mut(uid) {
+                if job.dirty_chunks.remove(chunk) {
+                    f.chunks.push((uid.clone(), *chunk));
+                }
             }
         }
-        let mut adds: Vec<Entry> = Vec::new();
-        let mut jobs: BTreeSet<Name> = BTreeSet::new();
-        let mut wait: VecDeque<(Name, TaskId)> = VecDeque::new();
-        while let Some((machine, id)) = self.proposals.pop_front() {
-            let Some(m) = self.machines.get(&machine) else { continue };
-            let Some(held) = m.placements.get(&id).filter(|x| x.ended.is_none()) else { continue };
-            let live = self.jobs.get(&id.0).is_some_and(|j| j.stage == Stage::Live);
-            let there = m.life == Life::Up && !m.lease_expired && m.reclaim_at.is_none();
-            if held.phase == Phase::Proposed && (!live || !there || held.halt.is_some()) {
-                self.retract(&machine, &id);
+        true
+    }
+
+    /// Makes a group of bitmaps fit into a value if it was written when values might be larger: chunks
+    /// go to groups of their own, which this commit writes too. A chunk that stands in two groups is
+    /// read from both, so the parts are written before the rest. False if the commit has no room.
+    fn divide_done_group(&mut self, n: u32, p: &mut Packer, f: &mut PendingCommit) -> bool {
+        let cap = p.cap - GROUP_FRAME_BYTES;
+        let Some(group) = self.done_groups.get(&n).filter(|g| g.bytes > cap) else { return true };
+        let mut parts: Vec<Vec<((Name, u32), usize)>> = Vec::new();
+        let (mut kept, mut filled) = (0, cap);
+        for (chunk, bytes) in &group.chunks {
+            if kept + bytes <= cap {
+                kept += bytes;
                 continue;
             }
-            let attempt = held.attempt;
-            let Some(text) = Placed::text(&id.0, id.1, &machine, attempt) else {
-                self.retract(&machine, &id);
-                continue;
-            };
-            let bytes = text.len() + 1;
-            let fits = |n: &u32, fill: &BTreeMap<u32, usize>| {
-                fill.get(n).is_some_and(|have| have + bytes <= cap)
-            };
-            let group = chosen.iter().copied().find(|n| fits(n, &fill)).or_else(|| {
-                if chosen.len() >= most {
-                    return None;
-                }
-                let open = fill.iter().filter(|(n, _)| !chosen.contains(n) && fits(n, &fill));
-                let emptiest = open.min_by_key(|(_, have)| **have).map(|(n, _)| *n);
-                Some(emptiest.unwrap_or_else(|| {
-                    (0..).find(|n| !self.groups.contains_key(n) && !chosen.contains(n)).unwrap_or(0)
-                }))
-            });
-            let new_job = live && !jobs.contains(&id.0);
-            let Some(group) = group.filter(|_| !new_job || jobs.len() < ifs_left) else {
-                wait.push_back((machine, id));
-                continue;
-            };
-            if live {
-                jobs.insert(id.0.clone());
+            if filled + bytes > cap {
+                parts.push(Vec::new());
+                filled = 0;
             }
-            chosen.insert(group);
-            *fill.entry(group).or_default() += bytes;
-            adds.push(Entry { group, machine, id, attempt, bytes });
-        }
-        self.proposals = wait;
-        if batch {
-            // The groups with most to take out.
-            let mut rest: Vec<(usize, u32)> = leaving
-                .iter()
-                .filter(|(n, _)| !chosen.contains(n))
-                .map(|(n, v)| (v.len(), *n))
-                .collect();
-            rest.sort_unstable_by(|a, b| b.cmp(a));
-            for (_, n) in rest.into_iter().take(CLEAN_GROUPS) {
-                if chosen.len() < most {
-                    chosen.insert(n);
+            filled += bytes;
+            parts.last_mut().expect("just made").push((chunk.clone(), *bytes));
+        }
+        if !p.room(parts.len() + 1, parts.len() + 1) {
+            return false;
+        }
+        log::info!("group {n} of bitmaps: divided into {}", parts.len() + 1);
+        for part in parts {
+            let to = (0..).find(|n| !self.done_groups.contains_key(n)).unwrap_or(0);
+            for ((uid, chunk), bytes) in part {
+                if let Some(from) = self.done_groups.get_mut(&n) {
+                    from.bytes -= from.chunks.remove(&(uid.clone(), chunk)).unwrap_or(0);
                 }
-            }
-        }
-        for n in &chosen {
-            let g = self.groups.entry(*n).or_default();
-            let out = leaving.remove(n).unwrap_or_default();
-            let gone: BTreeSet<(&TaskId, u64)> = out.iter().map(|e| (&e.id, e.attempt)).collect();
-            let stay = g.tasks.iter().filter(|((id, a), _)| !gone.contains(&(id, *a)));
-            let mut texts: Vec<String> =
-                stay.filter_map(|((id, a), (m, _))| Placed::text(&id.0, id.1, m, *a)).collect();
-            let new = adds.iter().filter(|e| e.group == *n);
-            texts.extend(new.filter_map(|e| Placed::text(&e.id.0, e.id.1, &e.machine, e.attempt)));
-            let rec = PlaceRec { tasks: texts.join(" ") };
-            if !p.put(place_key(*n), raw(&rec), g.stamp) {
-                log::error!("group {n} does not fit into the commit");
-                for e in adds.extract_if(.., |e| e.group == *n) {
-                    self.proposals.push_back((e.machine, e.id));
+                if let Some(job) = self.jobs.get_mut(&uid) {
+                    job.chunk_groups.insert(chunk, to);
                 }
-                continue;
+                let group = self.done_groups.entry(to).or_default();
+                group.bytes += bytes;
+                group.chunks.insert((uid, chunk), bytes);
+                group.dirty = true;
             }
-            g.urgent = false;
-            f.groups.push(*n);
-            f.leaves.extend(out);
-        }
-        for uid in jobs {
-            if adds.iter().any(|e| e.id.0 == uid) {
-                p.ifs.insert(end_key(&uid), 0);
+            if !self.pack_done_group(to, p, f) {
+                return false;
             }
         }
-        f.adds = adds;
+        true
     }
 
     /// The images on machines, in parts that fit into a value each.
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -106,17 +106,27 @@
         log::info!("leads in term {term}");
         self.term_heard = term;
         self.sync.max_rev = self.sync.max_rev.max(won.ledger_rev);
-        let n = self.cfg.controllers() as f64;
-        let rate = self.cfg.params.state.write_rps;
-        let share = WRITE_SHARE_LEADER + (1.0 - WRITE_SHARE_LEADER) / n;
-        self.writes.set_rate(rate * share, self.now.mono);
         let all = self.cfg.params.cloud.rps * STATE_RPS_SHARE;
         self.cloud.set_rate(all, self.now.mono);
         self.leader =
             Some(Leader::new(term, won.ledger_rev, lease_id, self.peers.len(), self.now.mono));
+        self.set_state_rates();
         self.leader_wants_fresh();
     }
 
+    /// Sets this controller's part of what the state service allows all of them.
+    pub(super) fn set_state_rates(&mut self) {
+        let controllers = self.cfg.controllers() as f64;
+        let follower_share = (1.0 - WRITE_SHARE_LEADER) / controllers;
+        let share = match self.leader.is_some() {
+            true => WRITE_SHARE_LEADER + follower_share,
+            false => follower_share,
+        };
+        self.writes.set_rate(self.limits.writes_per_s * share, self.now.mono);
+        let reads = self.limits.requests_per_s * STATE_RPS_SHARE / controllers;
+        self.reads.set_rate(reads, self.now.mono);
+    }
+
     pub(super) fn renew_due(&mut self) {
         let now = self.now.mono;
         let Some(l) = self.leader.as_mut() else {
@@ -161,10 +171,8 @@
     pub(super) fn step_down(&mut self, why: &str) {
         let Some(l) = self.leader.take() else { return };
         log::info!("no longer leads in term {}: {why}", l.term);
-        let n = self.cfg.controllers() as f64;
-        let share = (1.0 - WRITE_SHARE_LEADER) / n;
-        self.writes.set_rate(self.cfg.params.state.write_rps * share, self.now.mono);
-        let rps = self.cfg.params.cloud.rps * STATE_RPS_SHARE / n;
+        self.set_state_rates();
+        let rps = self.cfg.params.cloud.rps * STATE_RPS_SHARE / self.cfg.controllers() as f64;
         self.cloud.set_rate(rps, self.now.mono);
         for held in l.held {
             self.redirect(held.conn);
--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -46,6 +46,8 @@
     dear: f64,
     in_zone: Vec<(String, u32)>,
     zone_cap: u32,
+    /// A gang whose tasks have to be in one zone: what is rented for it is too.
+    whole_in_zone: bool,
 }
 
 /// The leader's view of the fleet.
@@ -120,12 +122,13 @@
             if team.limit.cpu > 0 && job.need.cpu > 0 {
                 left = left.min((team.limit.cpu - team.used.cpu) / job.need.cpu);
             }
-            if left <= 0 {
+            if left <= 0 || job.gang && left < i64::from(*n) {
                 continue;
             }
             // A slot serves short tasks one after the other.
             let run_s = job.run_ms as f64 / MS_PER_S;
-            let per_task = if job.service { 1.0 } else { (run_s / DRAIN_TARGET_S).min(1.0) };
+            let one_by_one = !job.service && !job.gang;
+            let per_task = if one_by_one { (run_s / DRAIN_TARGET_S).min(1.0) } else { 1.0 };
             self.unplaced.push(UnplacedTasks {
                 need: job.need,
                 spot_ok: job.spot_ok,
@@ -136,6 +139,7 @@
                 dear: left.min(i64::from(dear)) as f64 * per_task,
                 in_zone: view.zones.iter().cloned().zip(job.in_zone.iter().copied()).collect(),
                 zone_cap: job.zone_cap,
+                whole_in_zone: job.gang && job.one_zone,
             });
         }
     }
--- a/src/coordination/fleet/renting.rs
+++ b/src/coordination/fleet/renting.rs
@@ -74,6 +74,7 @@
                     dear: missing,
                     in_zone: vec![],
                     zone_cap: u32::MAX,
+                    whole_in_zone: false,
                 });
             }
         }
@@ -90,9 +91,12 @@
             // Those before this one have no room for such a task any more.
             let mut from = 0;
             let mut in_zone: HashMap<String, u32> = u.in_zone.iter().cloned().collect();
+            // The zone of a gang that must be in one: that of its first place.
+            let mut only_zone: Option<String> = None;
             while slots > SLOT_EPSILON {
                 let open = |zone: &str| {
                     u.zone.as_ref().is_none_or(|y| y == zone)
+                        && only_zone.as_ref().is_none_or(|only| only == zone)
                         && in_zone.get(zone).copied().unwrap_or(0) < u.zone_cap
                 };
                 let on_way = coming.iter().skip(from).position(|x| {
@@ -104,6 +108,9 @@
                 from = on_way.map_or(coming.len(), |n| from + n);
                 if let Some(x) = coming.get_mut(from) {
                     x.total -= u.need;
+                    if u.whole_in_zone {
+                        only_zone = Some(x.zone.clone());
+                    }
                     *in_zone.entry(x.zone.clone()).or_default() += 1;
                     slots -= 1.0;
                     continue;
@@ -142,6 +149,10 @@
                 let Some((_, _, kind)) = best else { break };
                 *wanted.entry(kind.clone()).or_default() += 1;
                 let (machine_type, zone, spot) = kind;
+                if u.whole_in_zone {
+                    only_zone = Some(zone.clone());
+                    from = 0;
+                }
                 coming.push(Coming {
                     total: total(&catalog.machine_types[machine_type]),
                     machine_type,
--- /dev/null
+++ b/src/coordination/gangs.rs
@@ -0,0 +1,101 @@
+//! Gangs as the leader sees them: attempts that can't become complete, and stops that take all tasks.
+
+use super::{Controller, Leader};
+use crate::constants::{
+    ATTEMPT_BITS, GANG_SCAN_MS, MS_PER_S, PLACEMENT_BYTES_MOST, SILENT_PERIODS,
+};
+use crate::protocol::users::JobSpec;
+use crate::protocol::workers::Cause;
+use crate::settings::Workers;
+use crate::storage::cluster::{Halt, Life, Machine, Phase, Placement};
+use crate::storage::limits::StoreLimits;
+use crate::storage::records::Name;
+use std::collections::BTreeSet;
+
+/// Most tasks of a gang: the placements of an attempt go into one commit.
+pub(super) fn gang_tasks_max(limits: &StoreLimits) -> usize {
+    use crate::constants::{COMMIT_BYTES, COMMIT_FRAME_BYTES, GROUP_FRAME_BYTES};
+    let by_bytes = (COMMIT_BYTES - COMMIT_FRAME_BYTES) / limits.value_bytes;
+    let groups = limits.transaction_ops.min(by_bytes.max(1));
+    groups * ((limits.value_bytes - GROUP_FRAME_BYTES) / PLACEMENT_BYTES_MOST)
+}
+
+/// Whether all tasks of a gang could ever be in the zones at once, of which so many hold machines
+/// that it may use.
+pub(super) fn zones_suffice(spec: &JobSpec, zones: usize) -> bool {
+    !spec.spread || spec.tasks == 1 || (!spec.one_zone && zones > 1)
+}
+
+/// A task that is stored and was never ordered by this leader: it is on no machine.
+fn never_ordered(placement: &Placement, term: u64) -> bool {
+    placement.attempt >> ATTEMPT_BITS == term
+        && placement.phase == Phase::Committed
+        && placement.ordered.is_none()
+        && placement.seen.is_none()
+}
+
+impl Leader {
+    /// Stops all tasks of a gang; those that were never ordered are settled at once.
+    pub(super) fn stop_gang(&mut self, uid: &Name, halt: Halt, now: u64) {
+        self.cluster.stop_gang(uid, halt);
+        let Some(job) = self.cluster.jobs.get(uid) else { return };
+        let nowhere: Vec<(Name, u32)> = job
+            .placed
+            .iter()
+            .filter(|(task, machine)| {
+                let machine = self.cluster.machines.get(*machine);
+                let held = machine.and_then(|m| m.placements.get(&(uid.clone(), **task)));
+                held.is_some_and(|p| p.ended.is_none() && never_ordered(p, self.term))
+            })
+            .map(|(task, machine)| (machine.clone(), *task))
+            .collect();
+        for (machine, task) in nowhere {
+            self.cluster.settle(&machine, &(uid.clone(), task), Cause::Lost);
+        }
+        self.plan_soon(now);
+    }
+
+    /// Stops the attempts of gangs that can't become complete: a task is to start on a machine that
+    /// has fallen silent, or was not started before others ran.
+    fn stop_hopeless_gangs(&mut self, workers: &Workers, now: u64) {
+        let silent = (workers.report_s * SILENT_PERIODS * MS_PER_S) as u64;
+        let lost = |m: &Machine| {
+            m.life != Life::Up
+                || m.lease_expired
+                || m.unreachable_since.is_some()
+                || m.reported_at.is_none_or(|t| now > t + silent)
+        };
+        let cluster = &self.cluster;
+        let mut hopeless: BTreeSet<Name> = BTreeSet::new();
+        for uid in cluster.queue.values() {
+            let Some(job) = cluster.jobs.get(uid) else { continue };
+            // One that has run goes on if the machine is only cut off, and ends by itself if not.
+            if job.gang.as_ref().is_none_or(|gang| gang.running) {
+                continue;
+            }
+            let missing = job.placed.iter().any(|(task, machine)| {
+                let Some(m) = cluster.machines.get(machine) else { return false };
+                let held = m.placements.get(&(uid.clone(), *task));
+                // What an earlier leader has placed may run there.
+                let heard = m.shows_token || now > self.began + silent * 2;
+                held.is_some_and(|p| p.seen.is_none() && p.halt.is_none()) && heard && lost(m)
+            });
+            if missing {
+                hopeless.insert(uid.clone());
+            }
+        }
+        for uid in hopeless {
+            log::info!("{uid}: its gang can't become complete, the attempt is stopped");
+            self.stop_gang(&uid, Halt::Unwanted, now);
+        }
+    }
+}
+
+impl Controller {
+    pub(super) fn gangs_due(&mut self) {
+        let now = self.now.mono;
+        let Some(l) = self.leader.as_mut().filter(|l| now >= l.gang_scan_at) else { return };
+        l.gang_scan_at = now + GANG_SCAN_MS;
+        l.stop_hopeless_gangs(&self.cfg.params.workers, now);
+    }
+}
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -1,6 +1,6 @@
 //! The leader: takeover, write-ahead commits, planning passes, evidence that time gives.
 
-use super::commits::Entry;
+use super::commits::{Entry, Move};
 use super::fleet::Fleet;
 use super::planner;
 use super::snapshot::View;
@@ -15,7 +15,7 @@
 use crate::protocol::state::Commit;
 use crate::protocol::users::JobKind;
 use crate::protocol::users::JobSpec;
-use crate::protocol::workers::{Cause, TaskStatus};
+use crate::protocol::workers::Cause;
 use crate::protocol::Resources;
 use crate::storage::budget::Bucket;
 use crate::storage::cluster::*;
@@ -31,6 +31,8 @@
     pub groups: Vec<u32>,
     pub adds: Vec<Entry>,
     pub leaves: Vec<Entry>,
+    /// Placements that it moves from a group that was too large.
+    pub moves: Vec<Move>,
     /// Groups of bitmaps that it writes, and the chunks that changed.
     pub done_groups: Vec<u32>,
     pub chunks: Vec<(Name, u32)>,
@@ -72,6 +74,8 @@
     pub(super) heard_at: u64,
     /// When each peer was last told that we lead: what permits it to stand in for us.
     pub(super) permitted: Vec<Option<u64>>,
+    /// When gangs that can't become complete are looked for next.
+    pub(super) gang_scan_at: u64,
     /// When leases are looked at next.
     lease_scan_at: u64,
     /// When the next line of the day's story is due.
@@ -108,6 +112,7 @@
             began: now,
             heard_at: now,
             permitted: vec![None; peers],
+            gang_scan_at: now,
             lease_scan_at: now,
             status_log_at: now + STATUS_LOG_PERIOD_MS,
             counter: 0,
@@ -245,6 +250,7 @@
         if self.leader.is_none() {
             return;
         }
+        self.gangs_due();
         self.fleet_due();
         let now = self.now.mono;
         if let Some(l) = self.leader.as_mut().filter(|l| now >= l.status_log_at) {
@@ -385,7 +391,12 @@
         self.metrics.work.planner_places += plan.places_examined;
         l.reservation =
             plan.reservation.map(|(j, m, _)| (view.jobs[j].clone(), view.machines[m].clone()));
+        let mut gangs: BTreeMap<usize, Vec<Name>> = BTreeMap::new();
         for (j, m) in &plan.places {
+            if view.snapshot.jobs[*j].gang {
+                gangs.entry(*j).or_default().push(view.machines[*m].clone());
+                continue;
+            }
             let (uid, machine) = (view.jobs[*j].clone(), view.machines[*m].clone());
             let Some(task) = l.cluster.jobs.get(&uid).and_then(|j| j.next_waiting()) else {
                 continue;
@@ -394,9 +405,22 @@
             l.cluster.propose(&uid, task, &machine, attempt, now);
             log::debug!("{uid}/{task}: placed on {machine}, attempt {attempt}");
         }
+        for (j, machines) in gangs {
+            let (uid, attempt) = (&view.jobs[j], l.unique());
+            if l.cluster.propose_gang(uid, &machines, attempt, now) {
+                log::debug!("{uid}: gang placed on {}, attempt {attempt}", machines.join(", "));
+            } else {
+                log::error!("{uid}: a part of a gang is not placed");
+            }
+        }
         for (m, handle) in &plan.halts {
             let id = view.handles[*m][*handle].clone();
             let machine = &view.machines[*m];
+            if l.cluster.jobs.get(&id.0).is_some_and(|job| job.is_gang()) {
+                log::debug!("{}: gang stopped to make room", id.0);
+                l.stop_gang(&id.0, Halt::MakeRoom, now);
+                continue;
+            }
             let held = l.cluster.machines.get_mut(machine).and_then(|m| m.placements.get_mut(&id));
             let Some(p) = held else { continue };
             log::debug!("{}/{}: stopped on {machine} to make room", id.0, id.1);
@@ -415,8 +439,3 @@
 pub(super) fn is_failure(cause: Cause) -> bool {
     matches!(cause, Cause::Error)
 }
-
-/// Whether a shown state holds resources.
-pub(super) fn is_on(status: TaskStatus) -> bool {
-    status != TaskStatus::Ended
-}
--- a/src/coordination/lease_extension.rs
+++ b/src/coordination/lease_extension.rs
@@ -65,7 +65,7 @@
         let commands = report
             .tasks
             .into_iter()
-            .filter(|x| super::leader::is_on(x.status) && over(&x.task_id))
+            .filter(|x| x.status.is_on_machine() && over(&x.task_id))
             .take(COMMANDS_MAX)
             .map(|x| WorkerCommand::Halt { task_id: x.task_id, attempt: x.attempt, grace_s: 0.0 })
             .collect();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,9 +4,11 @@
 //! order of their rank (workers' reports, then answers and timers, then users' requests),
 //! and gives effects. It does no I/O; the clock and the seed of its randomness are passed in.
 
+mod commit_places;
 mod commits;
 mod election;
 mod fleet;
+mod gangs;
 mod isolation;
 mod lateness;
 mod leader;
@@ -31,6 +33,7 @@
 use crate::protocol::state::Commit;
 use crate::settings::{Operator, Platform};
 use crate::storage::budget::Bucket;
+use crate::storage::limits::StoreLimits;
 use crate::storage::records::Name;
 use crate::storage::replica::Replica;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
@@ -170,6 +173,7 @@
     calls: HashMap<CallId, Purpose>,
     replica: Replica,
     sync: sync::Sync,
+    limits: StoreLimits,
     reads: Bucket,
     writes: Bucket,
     cloud: Bucket,
@@ -198,14 +202,15 @@
     pub fn new(cfg: Platform, op: Operator, clock: Clock, seed: u64) -> Controller {
         let mut rng = SmallRng::seed_from_u64(seed);
         let n = cfg.controllers() as f64;
-        let st = &cfg.params.state;
+        let limits = StoreLimits::new(&cfg.params.state);
         let peers = cfg.peers.iter().map(|_| peers::PeerView::default()).collect();
         let share = (1.0 - WRITE_SHARE_LEADER) / n;
         Controller {
             incarnation: rng.random(),
-            reads: Bucket::new(st.rps * STATE_RPS_SHARE / n, clock.mono),
-            writes: Bucket::new(st.write_rps * share, clock.mono),
+            reads: Bucket::new(limits.requests_per_s * STATE_RPS_SHARE / n, clock.mono),
+            writes: Bucket::new(limits.writes_per_s * share, clock.mono),
             cloud: Bucket::new(cfg.params.cloud.rps * STATE_RPS_SHARE / n, clock.mono),
+            limits,
             rng,
             now: clock,
             begun: clock.mono,
--- a/src/coordination/planner/mod.rs
+++ b/src/coordination/planner/mod.rs
@@ -11,6 +11,7 @@
 //! services have no length, so a reference length stands in; where a higher rank can't
 //! start, tasks of lower ranks are stopped for it.
 
+mod gang;
 mod offers;
 mod pass;
 #[cfg(test)]
@@ -47,6 +48,8 @@
     pub ran_ms: Option<u64>,
     /// It keeps its progress when it is stopped.
     pub saves: bool,
+    /// Tasks that stop if it is stopped: all those of its gang, or itself.
+    pub stops: u32,
     /// It has been told to stop.
     pub halting: bool,
     /// Milliseconds that stopping it takes.
@@ -74,6 +77,8 @@
     pub images: Vec<(usize, u64)>,
     /// Milliseconds to fetch a gigabyte.
     pub fetch_ms_per_gb: f64,
+    /// Milliseconds until its next report is expected, whose answer can start tasks.
+    pub next_report_ms: u64,
 }
 
 /// A job with waiting tasks.
@@ -85,6 +90,8 @@
     pub team: usize,
     /// Its tasks run until it is cancelled.
     pub service: bool,
+    /// Its tasks all run at the same time: it is placed whole.
+    pub gang: bool,
     /// Number that grows from job to job.
     pub arrival: u64,
     /// Milliseconds since it was accepted.
@@ -157,6 +164,8 @@
     pub jobs: Vec<JobView>,
     /// All teams.
     pub teams: Vec<TeamView>,
+    /// Milliseconds that tasks of a gang wait for each other; 0: not known.
+    pub gang_wait_ms: u64,
     /// Milliseconds until machines are up of which many are on their way, in the mean: ordinary
     /// ones, spot ones.
     pub coming: [Option<u64>; 2],
--- a/src/coordination/planner/pass.rs
+++ b/src/coordination/planner/pass.rs
@@ -34,8 +34,8 @@
     pub(super) total: Resources,
     /// Room on machines that is being made for higher ranks.
     pub(super) held: Vec<Resources>,
-    /// Machine, time, what is kept there.
-    pub(super) reserved: Option<(usize, u64, Resources)>,
+    /// What is kept for the head of the queue: one place, or all those of a gang.
+    pub(super) reserved: Vec<Reserved>,
     pub(super) claims: usize,
     /// Machines with anything free: only these are looked at for a start now.
     pub(super) with_room: Vec<usize>,
@@ -53,6 +53,14 @@
     pub(super) plan: Plan,
 }
 
+/// Room on a machine that is kept from a time on.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Reserved {
+    pub(super) machine: usize,
+    pub(super) start: u64,
+    pub(super) need: Resources,
+}
+
 /// Runs one pass.
 pub fn plan(s: &Snapshot) -> Plan {
     let rows: Vec<Row> = s
@@ -96,7 +104,7 @@
         used: s.teams.iter().map(|t| t.used).collect(),
         total: all_machines(s),
         held: vec![Resources::default(); s.machines.len()],
-        reserved: None,
+        reserved: Vec::new(),
         claims: 0,
         plan: Plan { expected: vec![Vec::new(); s.jobs.len()], ..Plan::default() },
     };
@@ -133,10 +141,14 @@
         // Heads that can start now start; the first that can't gets the reservation.
         let mut rest = Vec::new();
         for (n, &j) in order.iter().enumerate() {
-            if self.reserved.is_some() {
+            if !self.reserved.is_empty() {
                 rest.extend_from_slice(&order[n..]);
                 break;
             }
+            if self.s.jobs[j].gang {
+                self.start_or_reserve_gang(j);
+                continue;
+            }
             let mut started = 0;
             while self.waiting[j] > 0 && started < JOB_TASKS_PER_PASS && !self.full() {
                 match self.allocate(j, true) {
@@ -145,7 +157,8 @@
                         started += 1;
                     }
                     Some(a) => {
-                        self.reserved = Some((a.machine, a.start, self.s.jobs[j].need));
+                        let need = self.s.jobs[j].need;
+                        self.reserved.push(Reserved { machine: a.machine, start: a.start, need });
                         self.plan.reservation = Some((j, a.machine, a.start));
                         self.plan.expected[j].push(a.start - self.s.now);
                         self.claim(j, a.machine, a.start, a.length);
@@ -172,7 +185,18 @@
 
     /// Starts tasks of a job that has waited too long: one if none ever started, whatever
     /// its rank, and the next ones as long as the part kept for such jobs lasts.
+    ///
+    /// A gang needs all its places at once. Where they never fall free together, because others take
+    /// each of them before, it gets the reservation.
     fn start_starving(&mut self, j: usize) {
+        if self.s.jobs[j].gang {
+            if self.starving_left > 0 && self.reserved.is_empty() {
+                self.start_or_reserve_gang(j);
+                let placed = self.s.jobs[j].waiting - self.waiting[j];
+                self.starving_left = self.starving_left.saturating_sub(placed as usize);
+            }
+            return;
+        }
         while self.starving_left > 0 && self.waiting[j] > 0 && !self.full() {
             let Some(a) = self.allocate(j, false) else { return };
             self.place(j, a);
@@ -180,6 +204,18 @@
         }
     }
 
+    /// Starts a gang if all its tasks find room, else reserves for all of them.
+    fn start_or_reserve_gang(&mut self, j: usize) {
+        if self.waiting[j] == 0 || self.full() {
+            return;
+        }
+        if let Some(allocation) = self.gang_now(j) {
+            self.place_gang(j, &allocation);
+        } else if let Some(allocation) = self.gang_later(j) {
+            self.reserve_gang(j, &allocation);
+        }
+    }
+
     fn full(&self) -> bool {
         let most = PLACES_PER_PASS as f64 + self.rows.len() as f64 * PLACES_PER_MACHINE;
         self.plan.places.len() >= most as usize
@@ -194,20 +230,17 @@
     }
 
     fn place(&mut self, j: usize, a: Allocation) {
+        self.place_task(j, a.machine, a.start + a.length);
+    }
+
+    /// Counts a task on a machine until its end, as placed by this pass.
+    pub(super) fn place_task(&mut self, j: usize, m: usize, end: u64) {
         let job = &self.s.jobs[j];
-        let m = a.machine;
         let fetch = self.fetch_ms(j, m, self.s.now);
-        self.rows[m].add(Bucket {
-            end: a.start + a.length,
-            need: job.need,
-            bandwidth: job.bandwidth,
-        });
+        self.rows[m].add(Bucket { end, need: job.need, bandwidth: job.bandwidth });
         self.slots[m] -= 1;
         self.services[m] += i64::from(job.service);
-        if !self.images[m].iter().any(|(k, _)| *k == job.image) {
-            self.images[m].push((job.image, fetch));
-        }
-        self.images_done_in[m] = images_done_in(&self.images[m]);
+        self.note_image(m, job.image, fetch);
         self.changes[m] += 1;
         self.versions[m] += 1;
         self.in_zone[j][self.s.machines[m].zone] += 1;
@@ -216,6 +249,14 @@
         self.plan.places.push((j, m));
     }
 
+    /// Notes that an image will be on a machine after so many milliseconds.
+    fn note_image(&mut self, m: usize, image: usize, fetch_ms: u64) {
+        if !self.images[m].iter().any(|(known, _)| *known == image) {
+            self.images[m].push((image, fetch_ms));
+        }
+        self.images_done_in[m] = images_done_in(&self.images[m]);
+    }
+
     /// Counts a place that a task waits for, so that others see that they would not be alone. Whatever
     /// else has just changed on the machine for it counts as changed with that.
     pub(super) fn claim(&mut self, j: usize, m: usize, start: u64, length: u64) {
@@ -229,7 +270,10 @@
         // machine has changed since is worked out anew only when its turn comes.
         let mut choice: Vec<(usize, Option<Allocation>, u32)> = Vec::with_capacity(rest.len());
         for &j in rest {
-            let a = self.start_now(j);
+            let a = match self.s.jobs[j].gang {
+                true => self.gang_start_now(j),
+                false => self.start_now(j),
+            };
             choice.push((j, a, a.map_or(0, |a| self.changes[a.machine])));
         }
         while !self.full() {
@@ -247,6 +291,14 @@
                         .then(a.length.cmp(&b.length))
                 });
             let Some((n, j, a, seen)) = best else { return };
+            if self.s.jobs[j].gang {
+                // Others may have taken some of its places: it is worked out anew as a whole.
+                if let Some(allocation) = self.gang_now(j) {
+                    self.place_gang(j, &allocation);
+                }
+                choice[n] = (j, None, 0);
+                continue;
+            }
             if self.changes[a.machine] == seen && self.within_limit(j) {
                 self.place(j, a);
             }
@@ -255,6 +307,15 @@
         }
     }
 
+    /// The allocation of a gang that starts now, as that of its first task: what its turn among
+    /// other jobs depends on.
+    fn gang_start_now(&self, j: usize) -> Option<Allocation> {
+        let gang = self.gang_now(j).filter(|_| self.waiting[j] > 0)?;
+        let machine = gang.shares.first()?.machine;
+        let (start, length, factor) = (gang.start, gang.length, gang.factor);
+        Some(Allocation { machine, start, length, factor })
+    }
+
     /// The allocation of the job's next task that starts now, if that is its best. Tasks
     /// that do better to wait, for a machine that holds their image, say, claim their place,
     /// so that not all of them count on the same one.
--- a/src/coordination/planner/plain.rs
+++ b/src/coordination/planner/plain.rs
@@ -59,13 +59,11 @@
         if start > now && !row.fits_later(start, length, &job.need) {
             return None;
         }
-        if let Some((rm, rt, need)) = &self.reserved {
-            if *rm == m && start + length > *rt {
-                let mut at = row.free_at(*rt);
-                at -= job.need;
-                if !at.fits(need) {
-                    return None;
-                }
+        for kept in self.reserved.iter().filter(|r| r.machine == m && start + length > r.start) {
+            let mut at = row.free_at(kept.start);
+            at -= job.need;
+            if !at.fits(&kept.need) {
+                return None;
             }
         }
         let factor = (run + fetch) as f64 / run as f64 + penalized / run as f64;
--- a/src/coordination/planner/room.rs
+++ b/src/coordination/planner/room.rs
@@ -38,7 +38,7 @@
         for &j in order {
             let job = &self.s.jobs[j];
             let within = job.within;
-            if job.priority > Priority::High && !within {
+            if job.gang || job.priority > Priority::High && !within {
                 continue;
             }
             let stoppable = stoppable
@@ -155,7 +155,10 @@
                 let shield = if ran < PREEMPT_SHIELD_MS { PREEMPT_SHIELD_MS } else { 0 };
                 let lost = if r.saves { 0 } else { ran };
                 let service = if r.service { PREEMPT_SHIELD_MS * 4 } else { 0 };
-                (1_000 + shield + lost + service, v)
+                let cost = 1_000 + shield + lost + service;
+                // The rest of its gang stops with it, and all of it starts anew.
+                let whole = if r.stops > 1 { cost + PREEMPT_SHIELD_MS } else { cost };
+                (whole * u64::from(r.stops), v)
             })
             .collect();
         can.sort_unstable();
--- a/src/coordination/planner/tests.rs
+++ b/src/coordination/planner/tests.rs
@@ -20,6 +20,7 @@
         running: vec![],
         images: vec![(0, 0)],
         fetch_ms_per_gb: 4_000.0,
+        next_report_ms: 0,
     }
 }
 
@@ -33,6 +34,7 @@
         service: false,
         ran_ms: Some(60_000),
         saves: false,
+        stops: 1,
         halting: false,
         halt_ms: 2_000,
         handle: 0,
@@ -44,6 +46,7 @@
         priority: Priority::Standard,
         team: 0,
         service: false,
+        gang: false,
         arrival,
         waited_ms: 0,
         times: vec![],
@@ -72,6 +75,7 @@
         machines,
         jobs,
         teams: vec![TeamView { share: 1_000, ..TeamView::default() }],
+        gang_wait_ms: 0,
         coming: [None, None],
         arriving: vec![],
         reserved: None,
--- a/src/coordination/report_evidence.rs
+++ b/src/coordination/report_evidence.rs
@@ -3,14 +3,12 @@
 
 use crate::constants::{MS_PER_S, RECLAIM_MOST_S, UNREACHABLE_SESSION_SIGNS, WORKER_WAIT_S};
 use crate::protocol::cloud::Catalog;
-use crate::protocol::workers::{Cause, Report, TaskReport, TaskStatus};
+use crate::protocol::workers::{Cause, Report, TaskReport};
 use crate::protocol::{parse_task, Resources};
 use crate::storage::cluster::{Life, Machine, TaskId};
 use crate::storage::records::Name;
 use std::collections::HashMap;
 
-use super::leader::is_on;
-
 /// Session and sequence: of two reports of a machine the larger is the newer one.
 pub(super) type ReportId = (u64, u64);
 
@@ -127,7 +125,7 @@
         let mut evidence = Evidence::default();
         for (task, p) in machine.placements.iter_mut().filter(|(_, p)| p.ended.is_none()) {
             match shown.get(&(task.clone(), p.attempt)) {
-                Some(reported) if !is_on(reported.status) => {
+                Some(reported) if !reported.status.is_on_machine() => {
                     if ours {
                         let cause = reported.cause.unwrap_or(Cause::Lost);
                         evidence.settled.push((task.clone(), cause));
@@ -136,7 +134,7 @@
                 Some(reported) => {
                     evidence.start_arrived |= ours && p.seen.is_none() && p.ordered.is_some();
                     p.seen = Some(reported.status);
-                    if reported.status != TaskStatus::Pulling && p.running_since.is_none() {
+                    if reported.status.has_begun() && p.running_since.is_none() {
                         p.running_since = Some(now);
                         evidence.running.push((task.clone(), p.placed_at));
                     }
--- a/src/coordination/snapshot.rs
+++ b/src/coordination/snapshot.rs
@@ -3,8 +3,8 @@
 use super::planner::{self, JobView, MachineView, Running, Snapshot, TeamView};
 use super::{Clock, Leader};
 use crate::constants::{
-    BOOT_LATE, BOOT_SOON_PART, COMING_MANY, HTTP_BODY_MAX, MS_PER_S, OVERDUE_SHARE,
-    REPORT_TASK_BYTES, SERVICE_RUN_S, SILENT_PERIODS,
+    BOOT_LATE, BOOT_SOON_PART, COMING_MANY, GANG_AVOID_MAX, HTTP_BODY_MAX, MS_PER_S, OVERDUE_SHARE,
+    REPORT_JITTER, REPORT_TASK_BYTES, SERVICE_RUN_S, SILENT_PERIODS,
 };
 use crate::protocol::cloud::Catalog;
 use crate::protocol::users::{JobKind, Priority};
@@ -12,7 +12,7 @@
 use crate::settings::{Operator, Platform};
 use crate::storage::cluster::*;
 use crate::storage::records::Name;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// What a pass needs to know of a job for each of its placements.
 struct Facts {
@@ -23,6 +23,7 @@
     run: u64,
     service: bool,
     saves: bool,
+    stops: u32,
     image: usize,
     size_gb: f64,
     halt_ms: u64,
@@ -96,6 +97,8 @@
             v.snapshot.coming[i] = many.then(|| waits.sum::<u64>() / n);
             v.snapshot.arriving.extend(coming);
         }
+        v.snapshot.gang_wait_ms = (cfg.params.workers.gang_wait_s * MS_PER_S) as u64;
+        let held_reports: HashSet<&Name> = l.held.iter().map(|held| &held.machine).collect();
         v.snapshot.thresholds = op.thresholds.clone();
         for m in cluster.machines.values() {
             let (Some(zone), Some(type_index)) = (zone_of(&m.zone), type_index_of(&m.type_name))
@@ -142,6 +145,7 @@
                         run: l.run_ms(spec),
                         service: spec.kind == JobKind::Service,
                         saves: spec.saves(),
+                        stops: if spec.is_gang() { spec.tasks } else { 1 },
                         image: image_of(&spec.image),
                         size_gb: spec.size_gb,
                         halt_ms: (spec.checkpoint_cost_s * MS_PER_S) as u64 + silent / 2,
@@ -180,6 +184,7 @@
                     service,
                     ran_ms: ran,
                     saves: fact.saves,
+                    stops: fact.stops,
                     halting: p.halt.is_some(),
                     halt_ms,
                     handle: handles.len() - 1,
@@ -194,6 +199,10 @@
                 running,
                 images: held,
                 fetch_ms_per_gb: per_gb,
+                next_report_ms: match held_reports.contains(&m.name) {
+                    true => 0,
+                    false => next_report_ms(m, cfg.params.workers.report_s, now),
+                },
             });
             v.machines.push(m.name.clone());
             v.handles.push(handles);
@@ -208,12 +217,16 @@
             };
             let Some(spec) = &job.spec else { continue };
             // A job that fails everywhere is tried one task at a time.
-            let waiting = if job.suspect() { job.waiting().min(1) } else { job.waiting() };
+            let waiting = match job.suspect() && !job.is_gang() {
+                true => job.waiting().min(1),
+                false => job.waiting(),
+            };
             let Some(team) = team_of(&spec.team) else {
                 continue;
             };
             claimed[team] += job.need * i64::from(job.tasks - job.done_count.min(job.tasks));
-            if waiting == 0 || job.paused_until > now {
+            let gang_pause = job.gang.as_ref().map_or(0, |gang| gang.retry_at);
+            if waiting == 0 || job.paused_until.max(gang_pause) > now {
                 continue;
             }
             let mut in_zone = vec![0; zones.len()];
@@ -242,7 +255,11 @@
                 },
                 None => None,
             };
-            let avoid = match job.suspect() {
+            let tries_everywhere = match job.is_gang() {
+                true => job.failed_on.len() > GANG_AVOID_MAX,
+                false => job.suspect(),
+            };
+            let avoid = match tries_everywhere {
                 true => vec![],
                 false => job.failed_on.iter().filter_map(|m| index.get(m).copied()).collect(),
             };
@@ -264,6 +281,7 @@
                 priority: spec.priority,
                 team,
                 service: spec.kind == JobKind::Service,
+                gang: spec.is_gang(),
                 arrival: job.arrival,
                 waited_ms,
                 times,
@@ -301,6 +319,15 @@
     }
 }
 
+/// Milliseconds until a machine's next report is to be expected.
+fn next_report_ms(machine: &Machine, report_s: f64, now: u64) -> u64 {
+    let period = report_s * MS_PER_S;
+    let since = machine.received_at.map_or(0, |t| now - t) as f64;
+    let earliest = (period * (1.0 - REPORT_JITTER) - since).max(0.0);
+    let latest = (period * (1.0 + REPORT_JITTER) - since).max(period * REPORT_JITTER);
+    ((earliest + latest) / 2.0) as u64
+}
+
 fn guarantee(t: &crate::settings::Team) -> Resources {
     Resources::new(t.cpus, t.gpus, 0.0)
 }
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -74,6 +74,10 @@
             Some(503) | None if matches!(purpose, Purpose::Watch) => {}
             Some(429) => {
                 log::debug!("state service: too many requests");
+                if self.limits.lower_rates() {
+                    log::info!("state service: the lower rates of the settings are in force");
+                    self.set_state_rates();
+                }
                 if matches!(
                     purpose,
                     Purpose::LeaderCommit { .. } | Purpose::Submit { .. } | Purpose::Cancel { .. }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -3,14 +3,16 @@
 //! Every answer that a job is accepted, cancelled or done rests on a commit or on a read
 //! that began after the request came; only final states come from memory.
 
+use super::gangs::{gang_tasks_max, zones_suffice};
 use super::sync::Waiter;
 use super::{Asker, ConnId, Controller, Purpose};
 use crate::constants::{
     ARRIVAL_BITS, BATCHES_IN_FLIGHT, BATCH_FRAME_BYTES, BATCH_GATHER_MS, BATCH_HEDGE_MS,
-    BATCH_WAIT_MS, COMMIT_BYTES, COMMIT_FRAME_BYTES, PEER_VERSION, RETRY_AFTER_BUSY_S,
-    RETRY_AFTER_S, STATE_CALL_MS, STATE_LOST_MS, USER_WAIT_MAX, WRITES_SHORT_SHARE,
-    WRITE_KEEP_USERS,
+    BATCH_WAIT_MS, COMMIT_BYTES, COMMIT_FRAME_BYTES, CONDITIONS_PER_CHANGE, PEER_VERSION,
+    RETRY_AFTER_BUSY_S, RETRY_AFTER_S, STATE_CALL_MS, STATE_LOST_MS, USER_WAIT_MAX,
+    WRITES_SHORT_SHARE, WRITE_KEEP_USERS,
 };
+use crate::protocol::cloud::Catalog;
 use crate::protocol::peers::{encode, Relayed};
 use crate::protocol::state::Commit;
 use crate::protocol::state::{raw, Committed, Conflict, If, Write, COMMIT_PATH};
@@ -19,6 +21,7 @@
 use crate::protocol::Resources;
 use crate::storage::records::*;
 use crate::storage::replica::Stamped;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// A submission that gathers for a batch, with everyone who asked for it.
@@ -30,12 +33,40 @@
     at: u64,
 }
 
+/// Jobs that are stored in one value: all of them gangs, or none.
+#[derive(Debug)]
+struct BatchValue {
+    gangs: bool,
+    bytes: usize,
+    jobs: Vec<Rc<JobSpec>>,
+}
+
+impl BatchValue {
+    /// Whether a job may stand in this value, of which `cap` bytes are for jobs.
+    fn takes(&self, job: &Pending, cap: usize) -> bool {
+        self.gangs == job.spec.is_gang() && self.bytes + job.bytes <= cap
+    }
+
+    fn add(&mut self, job: &Pending) {
+        self.bytes += job.bytes;
+        self.jobs.push(job.spec.clone());
+    }
+
+    /// The key that this value is stored under.
+    fn key(&self, id: &str) -> String {
+        match self.gangs {
+            true => gang_batch_key(id),
+            false => batch_key(id),
+        }
+    }
+}
+
 /// A batch of submissions on its way.
 #[derive(Debug)]
 pub(crate) struct Batch {
     jobs: Vec<Pending>,
     /// The jobs as divided into values.
-    values: Vec<Vec<Rc<JobSpec>>>,
+    values: Vec<BatchValue>,
     sent_at: u64,
     /// Copies sent, and those not answered yet.
     copies: u32,
@@ -166,19 +197,41 @@
         if !fits {
             return Err((422, "a task fits no allowed machine type".into()));
         }
-        let n = if spec.kind == JobKind::Service { i64::from(spec.tasks) } else { 1 };
-        let all = need * n;
+        let all = need * i64::from(spec.tasks_at_once());
         let limit = Resources::new(team.cpus_max, team.gpus_max, 0.0);
         if !all.under(&limit) {
             return Err((422, "more than the team's limit".into()));
         }
+        if spec.is_gang() {
+            self.judge_gang(spec, catalog)?;
+        }
+        Ok(())
+    }
+
+    /// What only a gang can fail at: all of its tasks have to be placed at once.
+    fn judge_gang(&self, spec: &JobSpec, catalog: &Catalog) -> Result<(), (u16, String)> {
+        let most = gang_tasks_max(&self.limits);
+        if spec.tasks as usize > most {
+            return Err((422, format!("a gang can have {most} tasks here at the most")));
+        }
+        let allowed =
+            |name: &String| spec.machine_types.as_ref().is_none_or(|list| list.contains(name));
+        let types = catalog.machine_types.iter().filter(|t| allowed(&t.type_name));
+        let zones: BTreeSet<&String> = types
+            .filter(|t| Resources::new(t.cores, t.gpus, t.ram_gb).fits(&spec.need()))
+            .flat_map(|t| &t.zones)
+            .filter(|zone| spec.zone.as_ref().is_none_or(|only| only == *zone))
+            .collect();
+        if !zones_suffice(spec, zones.len()) {
+            return Err((422, "too few zones for all tasks at once".into()));
+        }
         Ok(())
     }
 
     /// Takes a job that is to be accepted into the next batch. A repeat joins the first.
     fn commit_job(&mut self, asker: Asker, spec: Rc<JobSpec>) {
         let bytes = raw(&spec).get().len() + BATCH_FRAME_BYTES;
-        if (bytes + BATCH_FRAME_BYTES) as f64 > self.cfg.params.state.value_kb * 1024.0 {
+        if bytes + BATCH_FRAME_BYTES > self.limits.value_bytes {
             return self.refuse(asker, 422, "the submission is too large to be kept", None);
         }
         if self.gathering.len() >= USER_WAIT_MAX {
@@ -221,27 +274,25 @@
         if self.batches.len() >= BATCHES_IN_FLIGHT {
             return;
         }
-        let cap = (self.cfg.params.state.value_kb * 1024.0) as usize - BATCH_FRAME_BYTES;
-        let txn = self.cfg.params.state.txn_ops;
+        let cap = self.limits.value_bytes - BATCH_FRAME_BYTES;
+        let txn = self.limits.transaction_ops;
         let left = self.writes.left(now) - WRITE_KEEP_USERS;
         let max_ops = (left.max(0.0) as usize).min(txn);
         // As many values as there are writes for, each filled with jobs.
-        let mut values: Vec<(usize, Vec<Rc<JobSpec>>)> = Vec::new();
+        let mut values: Vec<BatchValue> = Vec::new();
         let mut jobs: Vec<Pending> = Vec::new();
         let mut wait: Vec<Pending> = Vec::new();
         let mut bytes = 0;
         for p in std::mem::take(&mut self.gathering) {
             // A condition a job and one a value.
-            let fits = jobs.len() + max_ops < (txn * 4).min(1 << ARRIVAL_BITS)
+            let fits = jobs.len() + max_ops < (txn * CONDITIONS_PER_CHANGE).min(1 << ARRIVAL_BITS)
                 && bytes + p.bytes <= COMMIT_BYTES - COMMIT_FRAME_BYTES;
-            let value = values.iter().position(|(n, _)| n + p.bytes <= cap);
-            match value {
-                Some(i) if fits => {
-                    values[i].0 += p.bytes;
-                    values[i].1.push(p.spec.clone());
-                }
+            let open = values.iter().position(|value| value.takes(&p, cap));
+            match open {
+                Some(i) if fits => values[i].add(&p),
                 None if fits && values.len() < max_ops => {
-                    values.push((p.bytes, vec![p.spec.clone()]))
+                    let gangs = p.spec.is_gang();
+                    values.push(BatchValue { gangs, bytes: p.bytes, jobs: vec![p.spec.clone()] });
                 }
                 _ => {
                     wait.push(p);
@@ -257,7 +308,6 @@
         }
         self.batches_made += 1;
         let id = self.batches_made;
-        let values = values.into_iter().map(|(_, jobs)| jobs).collect();
         self.batches.insert(id, Batch { jobs, values, sent_at: now, copies: 0, out: 0 });
         self.send_batch(id, f64::MIN);
     }
@@ -287,12 +337,12 @@
             commit.conditions.push(If { key: end_key(&p.spec.uid), stamp: 0 });
         }
         let mut first = 0;
-        for (i, jobs) in b.values.iter().enumerate() {
-            let key = batch_key(&format!("{:016x}-{id}-{}-{i}", self.incarnation, b.copies));
-            let rec = BatchRec { at: self.now.wall, first, jobs: jobs.clone() };
+        for (i, value) in b.values.iter().enumerate() {
+            let key = value.key(&format!("{:016x}-{id}-{}-{i}", self.incarnation, b.copies));
+            let rec = BatchRec { at: self.now.wall, first, jobs: value.jobs.clone() };
             commit.conditions.push(If { key: key.clone(), stamp: 0 });
             commit.writes.push(Write::put(key, &rec));
-            first += jobs.len() as u64;
+            first += value.jobs.len() as u64;
         }
         b.copies += 1;
         b.out += 1;
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -4,8 +4,8 @@
 //! session and sequence. A start that a newer report doesn't show was not executed, since a
 //! worker has one report in flight and drops late answers, so it is sent again.
 
-use super::leader::{is_failure, is_on};
-use super::report_evidence::{note_machine, shown, Evidence, Hearing};
+use super::leader::is_failure;
+use super::report_evidence::{note_machine, shown, Evidence, Hearing, ReportId};
 use super::{Asker, ConnId, Controller, Leader};
 use crate::constants::{
     ATTEMPT_BITS, COMMANDS_MAX, ELECTION_LEAST_MS, FAIL_PAUSE_MAX_MS, FAIL_PAUSE_MS,
@@ -17,13 +17,15 @@
 use crate::protocol::{parse_task, task_name};
 use crate::settings::Platform;
 use crate::storage::cluster::*;
+use crate::storage::gangs::GangState;
 use crate::storage::records::*;
+use std::collections::BTreeSet;
 
 /// A report whose answer waits for a commit that may bring commands.
 #[derive(Debug)]
 pub(super) struct HeldReport {
     pub conn: ConnId,
-    machine: Name,
+    pub machine: Name,
     newest: (u64, u64),
     pub since: u64,
     ours: bool,
@@ -139,7 +141,7 @@
                 p.halt.get_or_insert(Halt::MakeRoom);
             }
         }
-        let ended = report.tasks.iter().filter(|task| !is_on(task.status));
+        let ended = report.tasks.iter().filter(|task| !task.status.is_on_machine());
         let ended = ended.filter(|task| parse_task(&task.task_id).is_some());
         let mut held = HeldReport {
             conn,
@@ -153,6 +155,9 @@
         for ((job, task), placed_at) in evidence.running {
             let Some(j) = l.cluster.jobs.get_mut(&job) else { continue };
             j.begun = true;
+            if let Some(gang) = &mut j.gang {
+                gang.note_running();
+            }
             let Some(spec) = j.spec.clone() else { continue };
             let machine_type = &l.cluster.machines[&name].type_name;
             let known = catalog.as_ref().and_then(|c| c.machine_type(machine_type));
@@ -169,7 +174,7 @@
             l.plan_soon(now);
         }
         // What is shown and nothing explains.
-        for reported in report.tasks.iter().filter(|x| is_on(x.status)) {
+        for reported in report.tasks.iter().filter(|x| x.status.is_on_machine()) {
             let Some((job, task)) = parse_task(&reported.task_id) else {
                 continue;
             };
@@ -236,7 +241,7 @@
         }
         let mut commands = Vec::new();
         let mut starts = Vec::new();
-        let mut never_ordered = Vec::new();
+        let mut nowhere = Vec::new();
         // What does not fit into an answer goes out with the next one.
         for (task_id, attempt) in h.unknown_tasks.into_iter().take(COMMANDS_MAX) {
             commands.push(WorkerCommand::Halt { task_id, attempt, grace_s: 0.0 });
@@ -267,7 +272,7 @@
             if let Some(halt) = halt {
                 if p.seen.is_none() && p.ordered.is_none() && !inherited {
                     if !live || p.halt.is_some() {
-                        never_ordered.push(id.clone());
+                        nowhere.push(id.clone());
                     }
                     continue;
                 }
@@ -283,13 +288,18 @@
                 && !m.lease_expired
                 && (!inherited || h.ours)
             {
+                let gang = job.and_then(|j| j.gang.as_ref());
+                if gang.is_some_and(|gang| may_have_started(gang, p, inherited, h.newest)) {
+                    nowhere.push(id.clone());
+                    continue;
+                }
                 p.ordered = Some(h.newest);
                 starts.push(WorkerCommand::Start { task_id, attempt: p.attempt });
             }
         }
         commands.extend(starts);
         m.answered_at = Some(now);
-        for id in never_ordered {
+        for id in nowhere {
             l.cluster.settle(&h.machine, &id, Cause::Lost);
         }
         let _ = self.metrics.report_ms.record(now - h.since);
@@ -299,6 +309,19 @@
     }
 }
 
+/// Whether a task of a gang that a machine does not show may have been there before, and the gang may
+/// have run: an attempt that lost a task is not made whole again. It was placed by an earlier
+/// leader, the machine has begun another session since it was ordered, or others ran already.
+fn may_have_started(
+    gang: &GangState,
+    placement: &Placement,
+    inherited: bool,
+    newest: ReportId,
+) -> bool {
+    let session_ended = placement.ordered.is_some_and(|(session, _)| session < newest.0);
+    inherited || session_ended || gang.running
+}
+
 impl Leader {
     /// Draws conclusions from how a task ended: run times, sick machines, bad jobs.
     fn note_end(&mut self, machine: &Name, id: &TaskId, cause: Cause, now: u64) {
@@ -365,6 +388,7 @@
         let Some(at) = m.reclaim_at else { return };
         let left = at.saturating_sub(now);
         let report = (cfg.params.workers.report_s * MS_PER_S) as u64;
+        let mut gangs: BTreeSet<Name> = BTreeSet::new();
         for ((uid, _), p) in &mut m.placements {
             let Some(spec) = jobs.get(uid).and_then(|j| j.spec.as_ref()) else {
                 continue;
@@ -382,10 +406,15 @@
                 let run = (spec.run_estimate_s * MS_PER_S) as u64;
                 run.saturating_sub(ran) > left
             };
-            if stop {
+            if stop && spec.is_gang() {
+                gangs.insert(uid.clone());
+            } else if stop {
                 p.halt = Some(Halt::MakeRoom);
             }
         }
+        for uid in gangs {
+            self.stop_gang(&uid, Halt::MakeRoom, now);
+        }
     }
 }
 
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -12,7 +12,7 @@
 /// Largest amount or duration accepted; keeps arithmetic exact.
 const AMOUNT_MAX: f64 = 1e9;
 
-/// Whether tasks end by themselves.
+/// How a job's tasks run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobKind {
@@ -21,6 +21,9 @@
     /// Replicas that run until the job is cancelled.
     #[serde(rename = "standing")]
     Service,
+    /// Tasks that all run at the same time, or none of them, and complete together.
+    #[serde(rename = "ensemble")]
+    Gang,
 }
 
 /// Priority, highest first.
@@ -48,7 +51,7 @@
     /// Team whose guarantee and limit apply.
     #[serde(rename = "crew")]
     pub team: String,
-    /// Whether tasks end by themselves.
+    /// How its tasks run.
     #[serde(rename = "shape")]
     pub kind: JobKind,
     /// Priority.
@@ -106,6 +109,19 @@
         Resources::new(self.cores, self.gpus, self.ram_gb)
     }
 
+    /// Whether its tasks all run at the same time or not at all.
+    pub fn is_gang(&self) -> bool {
+        self.kind == JobKind::Gang
+    }
+
+    /// Tasks that have to be on machines at the same time for the job to run at all.
+    pub fn tasks_at_once(&self) -> u32 {
+        match self.kind {
+            JobKind::Batch => 1,
+            JobKind::Service | JobKind::Gang => self.tasks,
+        }
+    }
+
     /// Whether a stopped task can keep its progress.
     pub fn saves(&self) -> bool {
         self.checkpoint_interval_s > 0.0
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -8,6 +8,8 @@
 pub enum TaskStatus {
     /// Waits for its image.
     Pulling,
+    /// Task of a gang that waits for the other tasks of its attempt.
+    Waiting,
     /// Runs.
     Running,
     /// Saves before it stops.
@@ -19,6 +21,18 @@
     Unknown,
 }
 
+impl TaskStatus {
+    /// Whether the task holds resources of its machine.
+    pub fn is_on_machine(self) -> bool {
+        self != TaskStatus::Ended
+    }
+
+    /// Whether the task has begun its work: it has its image, and its gang is complete.
+    pub fn has_begun(self) -> bool {
+        !matches!(self, TaskStatus::Pulling | TaskStatus::Waiting)
+    }
+}
+
 /// Why a task ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -35,6 +49,10 @@
     Busy,
     /// Refused: the worker knows no such task.
     NoSuch,
+    /// Task of a gang: another task of the gang is gone.
+    MatesGone,
+    /// Task of a gang that was not complete in time.
+    Alone,
     /// Killed with its session, taken with its machine, or a cause of a later protocol.
     #[serde(other)]
     Lost,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,8 +1,8 @@
 //! The two settings files: the platform's JSON and the operators' protobuf text.
 
 use crate::constants::{
-    BANDWIDTH_HIGH, BANDWIDTH_LOW, BANDWIDTH_MEDIUM, HEADROOM_SHARE, PASS_GAP_MS, PASS_PERIOD_MS,
-    THRESHOLDS,
+    BANDWIDTH_HIGH, BANDWIDTH_LOW, BANDWIDTH_MEDIUM, BYTES_PER_KB, HEADROOM_SHARE, PASS_GAP_MS,
+    PASS_PERIOD_MS, STORE_VALUE_BYTES_MIN, THRESHOLDS, TRANSACTION_OPS_MIN,
 };
 use serde::Deserialize;
 use std::net::SocketAddrV4;
@@ -149,6 +149,13 @@
     pub lease_s: f64,
     /// Seconds after a cancellation within which its tasks must be gone.
     pub cancel_s: f64,
+    /// Seconds that a task of a gang waits for the other tasks of its attempt; 0: not known.
+    #[serde(default)]
+    pub gang_wait_s: f64,
+    /// Seconds within which tasks of a gang notice that another one is gone, and within which all
+    /// of them have to be told to stop; 0: not known.
+    #[serde(default)]
+    pub gang_peer_s: f64,
 }
 
 /// Limits of the state service.
@@ -162,6 +169,52 @@
     pub value_kb: f64,
     /// Puts and deletes of one transaction.
     pub txn_ops: usize,
+    /// Limits that the state service takes on at some later moment, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+/// Limits of the state service that are to come; what is not named stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextStateLimits {
+    /// Requests a second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Puts and deletes a second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Kilobytes of one value.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Puts and deletes of one transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// Bytes of one value that are allowed now and later.
+    pub fn value_bytes(&self) -> usize {
+        let next = self.next.as_ref().and_then(|next| next.value_kb);
+        (next.map_or(self.value_kb, |kb| kb.min(self.value_kb)) * BYTES_PER_KB) as usize
+    }
+
+    /// Puts and deletes of one transaction that are allowed now and later.
+    pub fn transaction_ops(&self) -> usize {
+        let next = self.next.as_ref().and_then(|next| next.txn_ops);
+        next.map_or(self.txn_ops, |ops| ops.min(self.txn_ops))
+    }
+
+    /// Requests a second that are allowed now and later.
+    pub fn lowest_rps(&self) -> f64 {
+        let next = self.next.as_ref().and_then(|next| next.rps);
+        next.map_or(self.rps, |rps| rps.min(self.rps))
+    }
+
+    /// Puts and deletes a second that are allowed now and later.
+    pub fn lowest_write_rps(&self) -> f64 {
+        let next = self.next.as_ref().and_then(|next| next.write_rps);
+        next.map_or(self.write_rps, |rps| rps.min(self.write_rps))
+    }
 }
 
 /// Limits of the cloud.
@@ -200,6 +253,8 @@
             ("params.state.rps", self.params.state.rps),
             ("params.state.write_rps", self.params.state.write_rps),
             ("params.state.value_kb", self.params.state.value_kb),
+            ("params.state.next.rps", self.params.state.lowest_rps()),
+            ("params.state.next.write_rps", self.params.state.lowest_write_rps()),
             ("params.cloud.rps", self.params.cloud.rps),
         ];
         for (field, value) in positive {
@@ -210,8 +265,14 @@
         if self.label.is_empty() {
             return Err("label: must not be empty".into());
         }
-        if self.params.state.txn_ops < 2 {
-            return Err("params.state.txn_ops: must be at least 2".into());
+        if self.params.state.transaction_ops() < TRANSACTION_OPS_MIN {
+            return Err(format!("params.state.txn_ops: must be at least {TRANSACTION_OPS_MIN}"));
+        }
+        if self.params.state.value_bytes() < STORE_VALUE_BYTES_MIN {
+            return Err(format!(
+                "params.state.value_kb: must be at least {} bytes",
+                STORE_VALUE_BYTES_MIN
+            ));
         }
         if self.params.machine_limits.sockets < 32 {
             return Err("params.machine_limits.sockets: must be at least 32".into());
--- a/src/storage/cluster.rs
+++ b/src/storage/cluster.rs
@@ -4,6 +4,7 @@
 //! settled; a placement counts for place and quota until evidence settles it, and what
 //! settled it is committed before anything else is done with the task.
 
+use super::gangs::GangState;
 use super::records::*;
 use super::replica::Replica;
 use crate::constants::{BAD_JOB_MACHINES, DONE_CHUNK_TASKS, IMAGES_KEPT, UNREACHABLE_SIGNS};
@@ -268,6 +269,8 @@
     pub successes: u32,
     /// A task of it was seen running.
     pub begun: bool,
+    /// What is known of it as a gang; none for other jobs.
+    pub gang: Option<GangState>,
 }
 
 impl Job {
@@ -276,6 +279,9 @@
         if self.stage != Stage::Live {
             return 0;
         }
+        if self.is_gang() {
+            return self.gang_waiting();
+        }
         self.returned.len() as u32 + (self.tasks - self.next_fresh)
     }
 
@@ -424,6 +430,7 @@
             }
             b.done_groups.insert(*n, group);
         }
+        b.stop_incomplete_gangs();
         b
     }
 
@@ -447,8 +454,10 @@
         let Some(rec) = r.jobs.get(uid) else { return };
         let spec = rec.value.spec.clone();
         let done = r.done_bitmap(uid);
+        let gang = spec.as_ref().filter(|s| s.is_gang()).map(|_| GangState::default());
         let mut job = Job {
             uid: uid.clone(),
+            gang,
             need: spec.as_ref().map(|s| s.need()).unwrap_or_default(),
             spec,
             stage: rec.value.stage,
@@ -651,6 +660,9 @@
                 self.complete.insert(job.uid.clone());
             }
         }
+        if job.is_gang() {
+            self.gang_task_settled(&id.0, cause);
+        }
     }
 
     /// A settlement is committed: the placement is taken out and the task, unless it is
--- /dev/null
+++ b/src/storage/gangs/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of [`super`], the module `gangs`.
--- /dev/null
+++ b/src/storage/limits/tests.rs
@@ -0,0 +1,43 @@
+//! Tests of [`super`], the module `limits`.
+
+use super::*;
+use crate::settings::NextStateLimits;
+
+fn settings(next: Option<NextStateLimits>) -> StateLimits {
+    StateLimits { rps: 200.0, write_rps: 25.0, value_kb: 8.0, txn_ops: 16, next }
+}
+
+#[test]
+fn sizes_keep_to_the_limits_to_come_and_rates_go_down_once_refused() {
+    let next =
+        NextStateLimits { rps: None, write_rps: Some(18.0), value_kb: Some(2.0), txn_ops: Some(5) };
+    let mut limits = StoreLimits::new(&settings(Some(next)));
+    assert_eq!((limits.value_bytes, limits.transaction_ops), (2_048, 5));
+    assert_eq!((limits.requests_per_s, limits.writes_per_s), (200.0, 25.0));
+    assert!(limits.lower_rates());
+    assert_eq!((limits.requests_per_s, limits.writes_per_s), (200.0, 18.0));
+    assert!(!limits.lower_rates(), "they are down already");
+}
+
+#[test]
+fn without_limits_to_come_all_stays_as_the_settings_say() {
+    let mut limits = StoreLimits::new(&settings(None));
+    assert_eq!((limits.value_bytes, limits.transaction_ops), (8_192, 16));
+    assert!(!limits.lower_rates());
+    assert_eq!(limits.writes_per_s, 25.0);
+}
+
+#[test]
+fn larger_limits_to_come_change_nothing() {
+    let next = NextStateLimits { value_kb: Some(16.0), txn_ops: Some(64), ..Default::default() };
+    let limits = StoreLimits::new(&settings(Some(next)));
+    assert_eq!((limits.value_bytes, limits.transaction_ops), (8_192, 16));
+}
+
+#[test]
+fn sizes_are_halved_down_to_what_the_stored_forms_need() {
+    let mut limits = StoreLimits::new(&settings(None));
+    (0..20).for_each(|_| limits.halve_sizes());
+    assert_eq!(limits.value_bytes, STORE_VALUE_BYTES_MIN);
+    assert_eq!(limits.transaction_ops, TRANSACTION_OPS_MIN);
+}
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -34,6 +34,15 @@
     format!("{}jobs/{id}", KEY_ROOT)
 }
 
+/// The key of a batch of gangs that were accepted together, written once like a batch of other jobs.
+///
+/// The key stands beside those of other jobs because a program from before gangs fails to read a
+/// batch with a kind of job that it doesn't know, and with it every other job of that batch. Keys of
+/// a family that it doesn't know it ignores.
+pub fn gang_batch_key(id: &str) -> String {
+    format!("{}gangs/{id}", KEY_ROOT)
+}
+
 /// The key of how a job ended. It exists once the job is done or withdrawn, and only then.
 pub fn end_key(uid: &str) -> String {
     format!("{}end/{uid}", KEY_ROOT)
@@ -67,6 +76,8 @@
     Shares,
     /// Jobs that were accepted together.
     Batch(&'a str),
+    /// Gangs that were accepted together.
+    GangBatch(&'a str),
     /// How a job ended.
     End(&'a str),
     /// A group of bitmaps of done tasks.
@@ -89,6 +100,7 @@
             let (kind, name) = rest.split_once('/')?;
             match kind {
                 "jobs" => Key::Batch(name),
+                "gangs" => Key::GangBatch(name),
                 "end" => Key::End(name),
                 "done" => Key::Done(name.parse().ok()?),
                 "place" => Key::Place(name.parse().ok()?),
--- a/src/storage/replica.rs
+++ b/src/storage/replica.rs
@@ -37,7 +37,7 @@
     pub shares: Option<Stamped<ShareRec>>,
     /// Every job that was ever accepted. Its stamp is its arrival number.
     pub jobs: HashMap<Name, Stamped<JobRec>>,
-    /// Batches that are still kept, with their jobs.
+    /// Batches that are still kept, by key, with their jobs.
     pub batches: HashMap<Name, Stamped<Vec<Name>>>,
     /// Groups of bitmaps of done tasks.
     pub done: BTreeMap<u32, Stamped<DoneRec>>,
@@ -115,7 +115,7 @@
             Some(Key::Term) => of(self.term.as_ref()),
             Some(Key::Catalog) => of(self.catalog.as_ref()),
             Some(Key::Shares) => of(self.shares.as_ref()),
-            Some(Key::Batch(id)) => of(self.batches.get(id)),
+            Some(Key::Batch(_) | Key::GangBatch(_)) => of(self.batches.get(key)),
             Some(Key::End(u)) => self.jobs.get(u).map_or(0, |j| j.value.end_stamp),
             Some(Key::Done(g)) => of(self.done.get(&g)),
             Some(Key::Place(g)) => of(self.places.get(&g)),
@@ -164,9 +164,9 @@
             Some(Key::Term) => self.term = stamped(key, data, stamp),
             Some(Key::Catalog) => self.catalog = stamped(key, data, stamp),
             Some(Key::Shares) => self.shares = stamped(key, data, stamp),
-            Some(Key::Batch(id)) => {
+            Some(Key::Batch(_) | Key::GangBatch(_)) => {
                 let rec: Option<BatchRec> = value(key, data);
-                return rec.map_or_else(Vec::new, |rec| self.batch(id, rec, stamp));
+                return rec.map_or_else(Vec::new, |rec| self.batch(key, rec, stamp));
             }
             Some(Key::End(uid)) => {
                 let rec: Option<EndRec> = value(key, data);
@@ -194,7 +194,7 @@
     }
 
     /// A batch of accepted jobs. Of a job that stands in two batches the earlier one counts.
-    fn batch(&mut self, id: &str, rec: BatchRec, stamp: u64) -> Vec<Name> {
+    fn batch(&mut self, key: &str, rec: BatchRec, stamp: u64) -> Vec<Name> {
         let mut names = Vec::new();
         let mut touched = Vec::new();
         for (i, spec) in rec.jobs.into_iter().enumerate() {
@@ -230,7 +230,7 @@
             }
             touched.push(uid);
         }
-        self.batches.insert(id.into(), Stamped { stamp, value: names });
+        self.batches.insert(key.into(), Stamped { stamp, value: names });
         touched
     }
 
@@ -269,10 +269,10 @@
             Some(Key::Term) => self.term = None,
             Some(Key::Catalog) => self.catalog = None,
             Some(Key::Shares) => self.shares = None,
-            Some(Key::Batch(id)) => {
+            Some(Key::Batch(_) | Key::GangBatch(_)) => {
                 // Removed when all its jobs are over: how they ended is kept, what they were
                 // is not needed any more.
-                for uid in self.batches.remove(id).into_iter().flat_map(|b| b.value) {
+                for uid in self.batches.remove(key).into_iter().flat_map(|b| b.value) {
                     if let Some(j) = self.jobs.get_mut(&uid) {
                         if j.value.stage != Stage::Live {
                             j.value.spec = None;
--- a/tests/encodings.rs
+++ b/tests/encodings.rs
@@ -154,3 +154,20 @@
          427b7d",
     );
 }
+
+/// What gangs added. A program from before them reads every literal above, and none of these.
+#[test]
+fn forms_that_gangs_added() {
+    assert_eq!(records::gang_batch_key("00ab-1-0-0"), "mg/2/gangs/00ab-1-0-0");
+    let gang = SUBMISSION.replace("batch", "ensemble");
+    json::<users::JobSpec>(&gang);
+    json::<records::BatchRec>(&format!(r#"{{"at":5,"first":0,"jobs":[{gang}]}}"#));
+    json::<workers::TaskStatus>("\"waiting\"");
+    for cause in ["mates_gone", "alone"] {
+        json::<workers::Cause>(&format!("\"{cause}\""));
+    }
+    // A gang's placements are written like any others, all with one attempt number.
+    json::<records::PlaceRec>(
+        r#"{"tasks":"000412/0@n-000231#1c000003 000412/1@n-000231#1c000003"}"#,
+    );
+}
--- /dev/null
+++ b/tests/gangs.rs
@@ -0,0 +1,401 @@
+//! Gangs: jobs whose tasks all run at the same time or not at all. The world's checker watches every
+//! rule all the while; its workers hold gang tasks back until all are there.
+
+mod world;
+
+use serde_json::{json, Value};
+use world::*;
+
+/// A world with a leader.
+fn led(seed: u64) -> World {
+    let mut w = World::new(seed);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.run(3_000);
+    w
+}
+
+/// A gang whose tasks take one of a machine's four GPUs each and save every two seconds.
+fn gang(w: &World, n: u64, tasks: u32) -> Value {
+    let mut spec = w.spec(n, "ensemble", tasks);
+    spec["lendables"] = json!(false);
+    spec["mark_every_s"] = json!(2.0);
+    spec["mark_cost_s"] = json!(1.0);
+    spec
+}
+
+/// Submits a gang and waits until all of it runs.
+fn running_gang(w: &mut World, n: u64, tasks: u32, run_ms: u64) -> String {
+    let spec = gang(w, n, tasks);
+    let uid = spec["uid"].as_str().expect("an id").to_string();
+    w.submit(spec, run_ms, 0);
+    until_runs(w, &uid);
+    uid
+}
+
+/// Waits until an attempt of a gang has started that has not come to grief.
+fn until_runs(w: &mut World, uid: &str) {
+    w.until(60_000, "the gang runs", |w| {
+        w.jobs[uid].attempts.values().any(|r| r.broken_at.is_none() && r.halted_at.is_none())
+            && w.running_of(uid) == w.jobs[uid].loads as usize
+    });
+}
+
+fn machines_of(w: &World, uid: &str) -> Vec<String> {
+    w.workers.iter().filter(|(_, x)| !x.dead && x.is_on(uid)).map(|(n, _)| n.clone()).collect()
+}
+
+/// Attempts that have started.
+fn attempts(w: &World, uid: &str) -> usize {
+    w.jobs[uid].attempts.len()
+}
+
+#[test]
+fn a_gang_starts_whole_and_is_done_as_a_whole() {
+    let mut w = led(1);
+    let uid = running_gang(&mut w, 1, 6, 5_000);
+    assert!(machines_of(&w, &uid).len() >= 2, "no machine holds more than four");
+    w.until_done(&uid, 20_000);
+    assert_eq!(attempts(&w, &uid), 1);
+    assert_eq!(w.jobs[&uid].ordered, 6, "each task was ordered once");
+    w.run(5_000);
+    assert!(machines_of(&w, &uid).is_empty());
+}
+
+#[test]
+fn a_gang_that_fits_on_one_machine_is_not_spread() {
+    let mut w = led(2);
+    let uid = running_gang(&mut w, 1, 4, 20_000);
+    assert_eq!(machines_of(&w, &uid).len(), 1, "{}", w.view());
+}
+
+#[test]
+fn gangs_that_can_never_run_are_refused_and_exactly_the_limit_is_taken() {
+    let mut w = led(3);
+    let mut asked = Vec::new();
+    let mut ask = |w: &mut World, n: u64, change: &dyn Fn(&mut Value), status: u16| {
+        let mut spec = gang(w, n, 2);
+        change(&mut spec);
+        let odd = status >= 400;
+        let uid = spec["uid"].as_str().expect("an id").to_string();
+        let request = w.submit(spec, 1_000, 0);
+        w.jobs.get_mut(&uid).expect("just asked").odd = odd;
+        asked.push((request, status));
+    };
+    // The team's limit is twelve GPUs.
+    ask(&mut w, 1, &|s| s["loads"] = json!(12), 201);
+    ask(&mut w, 2, &|s| s["loads"] = json!(13), 422);
+    ask(&mut w, 3, &|s| s["gpus"] = json!(5.0), 422);
+    ask(&mut w, 4, &|s| s["crew"] = json!("nobody"), 422);
+    ask(&mut w, 5, &|s| s["loads"] = json!(0), 400);
+    ask(&mut w, 6, &|s| s["shape"] = json!("gang"), 400);
+    ask(&mut w, 7, &|s| s["together"] = Value::Null, 400);
+    ask(
+        &mut w,
+        8,
+        &|s| {
+            s["together"] = json!(true);
+            s["apart"] = json!(true);
+        },
+        422,
+    );
+    ask(
+        &mut w,
+        9,
+        &|s| {
+            s["yard"] = json!("b");
+            s["apart"] = json!(true);
+        },
+        422,
+    );
+    // More placements than one commit can hold; the team has no limit.
+    ask(
+        &mut w,
+        10,
+        &|s| {
+            s["crew"] = json!("blue");
+            s["loads"] = json!(90_000);
+        },
+        422,
+    );
+    w.run(2_000);
+    for (request, status) in asked {
+        assert_eq!(w.status(request), status, "{}", w.answer(request));
+    }
+    let again = gang(&w, 1, 12);
+    let repeat = w.submit(again, 1_000, 2);
+    w.run(1_000);
+    assert_eq!(w.status(repeat), 200, "a repeat of an accepted one is answered with its state");
+}
+
+#[test]
+fn a_gang_that_loses_a_machine_starts_anew_once_all_of_it_is_gone() {
+    for seed in 0..4 {
+        let mut w = led(seed);
+        let uid = running_gang(&mut w, 1, 6, 12_000);
+        w.run(3_000);
+        let lost = machines_of(&w, &uid)[0].clone();
+        w.kill_machine(&lost);
+        w.until_done(&uid, 120_000);
+        assert_eq!(attempts(&w, &uid), 2, "seed {seed}");
+        let first = w.jobs[&uid].attempts.values().next().expect("it ran");
+        assert!(first.broken_at.is_some());
+        assert!(w.jobs[&uid].saved_ms >= 2_000, "the checkpoints of the first attempt count");
+    }
+}
+
+#[test]
+fn a_gang_on_a_machine_that_hangs_waits_for_its_lease_and_starts_elsewhere() {
+    for (seed, hang_ms) in [(0, 3_000), (1, LEASE_MS + 4_000), (2, LEASE_MS * 3)] {
+        let mut w = led(seed);
+        let uid = running_gang(&mut w, 1, 6, 12_000);
+        w.run(2_000);
+        let hung = machines_of(&w, &uid)[0].clone();
+        w.workers.get_mut(&hung).expect("a machine").hung_until = w.now + hang_ms;
+        w.until_done(&uid, 180_000);
+        assert!(attempts(&w, &uid) <= 3, "hang of {hang_ms} ms: {}", attempts(&w, &uid));
+    }
+}
+
+#[test]
+fn a_gang_that_loses_a_task_before_it_starts_is_not_left_half_placed() {
+    for seed in 0..4 {
+        let mut w = led(seed);
+        let spec = gang(&w, 1, 6);
+        w.submit(spec, 4_000, 0);
+        w.until(20_000, "a part waits", |w| w.jobs["job-000001"].starts > 0);
+        if let Some(lost) = machines_of(&w, "job-000001").first().cloned() {
+            w.kill_machine(&lost);
+        }
+        w.until_done("job-000001", 120_000);
+    }
+}
+
+#[test]
+fn a_gang_whose_start_does_not_reach_a_machine_gives_its_places_up() {
+    let mut w = led(5);
+    let names: Vec<String> = w.workers.keys().cloned().collect();
+    let spec = gang(&w, 1, 8);
+    w.submit(spec, 4_000, 0);
+    w.until(20_000, "it is placed", |w| w.state.under("mg/2/place/").len() == 1);
+    // One of the machines never hears its start.
+    w.workers.get_mut(&names[0]).expect("a machine").deaf = true;
+    w.run(GANG_WAIT_MS * 3);
+    w.workers.get_mut(&names[0]).expect("a machine").deaf = false;
+    w.until_done("job-000001", 180_000);
+}
+
+#[test]
+fn a_running_gang_outlives_changes_of_leader() {
+    for seed in 0..4 {
+        let mut w = led(seed);
+        let uid = running_gang(&mut w, 1, 6, 30_000);
+        for back in [50, 3_000, 800] {
+            let leader = w.leader().expect("leads");
+            w.crash(leader, back);
+            w.run(6_000);
+        }
+        w.until_done(&uid, 60_000);
+        assert_eq!(attempts(&w, &uid), 1, "seed {seed}: a healthy gang is not stopped");
+        assert_eq!(w.jobs[&uid].ordered, 6);
+    }
+}
+
+#[test]
+fn a_gang_that_assembles_while_the_leader_changes_runs_once() {
+    for seed in 0..12 {
+        let mut w = led(seed);
+        let spec = gang(&w, 1, 6);
+        w.submit(spec, 6_000, 0);
+        let wait = 50 + 200 * seed;
+        w.run(wait);
+        if let Some(leader) = w.leader() {
+            w.crash(leader, 100);
+        }
+        w.until_done("job-000001", 120_000);
+        assert_eq!(attempts(&w, "job-000001"), 1, "seed {seed}");
+    }
+}
+
+#[test]
+fn all_controllers_ended_a_gang_goes_on_or_starts_again_whole() {
+    for (seed, back) in [(0, 100), (1, 5_000), (2, LEASE_MS + 6_000)] {
+        let mut w = led(seed);
+        let uid = running_gang(&mut w, 1, 6, 25_000);
+        (0..3).for_each(|i| w.crash(i, back + 200 * i as u64));
+        w.until_done(&uid, 180_000);
+        let most = if back < LEASE_MS { 1 } else { 2 };
+        assert!(attempts(&w, &uid) <= most, "back after {back}: {}", attempts(&w, &uid));
+    }
+}
+
+#[test]
+fn a_cancelled_gang_is_gone_in_time_in_every_state() {
+    for seed in 0..4 {
+        for after in [0, 300, 700, 1_500, 3_000, 6_000] {
+            let mut w = led(seed);
+            let spec = gang(&w, 1, 6);
+            let asked = w.submit(spec, 60_000, 0);
+            w.until(2_000, "accepted", |w| w.status(asked) == 201);
+            w.run(after);
+            let r = w.withdraw("job-000001", 1);
+            w.until(2_000, "confirmed", |w| w.status(r) == 200);
+            w.run(CANCEL_MS + 5_000);
+            assert!(machines_of(&w, "job-000001").is_empty());
+        }
+    }
+}
+
+#[test]
+fn a_cancelled_gang_on_a_machine_that_hangs_is_gone_when_its_time_is_up() {
+    let mut w = led(4);
+    let uid = running_gang(&mut w, 1, 6, u64::MAX);
+    let hung = machines_of(&w, &uid)[0].clone();
+    w.workers.get_mut(&hung).expect("a machine").hung_until = w.now + CANCEL_MS * 2;
+    let leader = w.leader().expect("leads");
+    w.withdraw(&uid, (leader + 1) % 3);
+    w.run(1_000);
+    w.crash(leader, 500);
+    w.run(CANCEL_MS * 3);
+    assert!(machines_of(&w, &uid).is_empty());
+}
+
+#[test]
+fn a_gang_on_a_machine_that_is_reclaimed_saves_as_a_whole() {
+    let mut w = led(6);
+    let mut spec = gang(&w, 1, 6);
+    spec["run_guess_s"] = json!(60.0);
+    w.submit(spec, 60_000, 0);
+    until_runs(&mut w, "job-000001");
+    w.run(5_100);
+    let taken = machines_of(&w, "job-000001")[0].clone();
+    w.workers.get_mut(&taken).expect("a machine").recall_at = Some(w.now + 12_000);
+    w.until(20_000, "it was stopped", |w| {
+        w.jobs["job-000001"].attempts.values().next().is_some_and(|r| r.halted_at.is_some())
+    });
+    w.until_done("job-000001", 180_000);
+    let first = w.jobs["job-000001"].attempts.values().next().expect("it ran");
+    assert!(first.broken_at.is_none(), "all of it was told in time");
+    assert!(w.jobs["job-000001"].saved_ms > 0);
+}
+
+#[test]
+fn a_gang_in_one_zone_stays_in_one_until_the_last_of_it_is_gone() {
+    for seed in 0..4 {
+        let mut w = World::fleet(seed, 8);
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        w.run(3_000);
+        let mut spec = gang(&w, 1, 7);
+        spec["together"] = json!(true);
+        w.submit(spec, 15_000, 0);
+        until_runs(&mut w, "job-000001");
+        let lost = machines_of(&w, "job-000001")[0].clone();
+        w.kill_machine(&lost);
+        w.until_done("job-000001", 180_000);
+    }
+}
+
+#[test]
+fn a_wide_gang_begins_under_a_stream_of_small_jobs() {
+    let mut w = led(7);
+    w.cloud.capacity = 3;
+    let spec = gang(&w, 1, 12);
+    w.submit(spec, 3_000, 0);
+    let mut n = 100;
+    let end = w.now + 240_000;
+    while w.jobs["job-000001"].begun_at.is_none() {
+        assert!(w.now < end, "it never begins: {}", w.view());
+        n += 1;
+        let mut small = w.spec(n, "batch", 2);
+        small["crew"] = json!("blue");
+        w.submit(small, 4_000, n as usize % 3);
+        w.run(900);
+    }
+}
+
+#[test]
+fn gangs_that_fail_everywhere_leave_the_machines_to_others() {
+    let mut w = led(8);
+    let spec = gang(&w, 1, 4);
+    w.submit(spec, 3_000, 0);
+    w.jobs.get_mut("job-000001").expect("just asked").bad = true;
+    w.run(60_000);
+    assert!(w.jobs["job-000001"].ordered < 60, "it backs off: {}", w.jobs["job-000001"].ordered);
+    let other = w.spec(2, "batch", 4);
+    w.submit(other, 2_000, 0);
+    w.until_done("job-000002", 30_000);
+}
+
+#[test]
+fn a_machine_that_fails_its_tasks_does_not_keep_a_gang_from_running() {
+    for seed in 0..4 {
+        let mut w = World::fleet(seed, 4);
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        w.run(3_000);
+        let first = w.workers.keys().next().expect("a machine").clone();
+        w.workers.get_mut(&first).expect("a machine").sick = true;
+        let spec = gang(&w, 1, 8);
+        w.submit(spec, 3_000, 0);
+        w.until_done("job-000001", 60_000);
+    }
+}
+
+/// The limits that the fake settings announce.
+fn next_limits() -> Value {
+    json!({"value_kb": 2.0, "txn_ops": 4, "write_rps": 30.0})
+}
+
+#[test]
+fn what_was_stored_under_higher_limits_is_divided_and_blocks_nothing() {
+    let mut w = World::fleet(9, 60);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.run(3_000);
+    let mut spec = w.spec(1, "batch", 220);
+    spec["crew"] = json!("blue");
+    w.submit(spec, 40_000, 0);
+    for n in 2..90 {
+        let mut spec = w.spec(n, "batch", 3);
+        spec["crew"] = json!("blue");
+        w.submit(spec, 30_000 + n * 100, n as usize % 3);
+    }
+    w.until(60_000, "the fleet is full", |w| w.running() >= 220);
+    let largest = |w: &World| {
+        let sizes = w.state.under("mg/2/").into_iter().map(|(_, data)| data.to_string().len());
+        sizes.max().unwrap_or(0)
+    };
+    assert!(largest(&w) > 2_048, "values of the old size: {}", largest(&w));
+    // A version that knows of the limits takes over, one controller after the other.
+    w.next_limits = next_limits();
+    for i in 0..3 {
+        w.crash(i, 500);
+        w.run(3_000);
+    }
+    w.run(10_000);
+    w.state.lowered = Some((2_048, 4));
+    let spec = gang(&w, 500, 12);
+    w.submit(spec, 3_000, 0);
+    let uids: Vec<String> = w.jobs.keys().cloned().collect();
+    for uid in uids {
+        w.until_done(&uid, 300_000);
+    }
+    assert_eq!(w.state.too_large, 0, "nothing of the old size was written");
+}
+
+#[test]
+fn limits_that_come_without_notice_in_the_settings_stall_nothing() {
+    let mut w = led(10);
+    w.state.lowered = Some((2_048, 4));
+    for n in 1..40 {
+        let mut spec = w.spec(n, "batch", 4);
+        spec["crew"] = json!("blue");
+        w.submit(spec, 2_000, n as usize % 3);
+    }
+    w.run(3_000);
+    for n in 1..40 {
+        let uid = format!("job-{n:06}");
+        if w.jobs[&uid].accepted_at.is_none() {
+            let spec = w.jobs[&uid].spec.clone();
+            w.submit(spec, 2_000, n as usize % 3);
+        }
+        w.until_done(&uid, 240_000);
+    }
+}
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -185,10 +185,33 @@
     }
 }
 
-fn job(w: &mut World, n: u64) {
-    let shape = if w.rng.random_bool(0.3) { "standing" } else { "batch" };
+/// Which jobs users submit.
+#[derive(Clone, Copy, PartialEq)]
+enum Mix {
+    /// Arrays and services.
+    Plain,
+    /// Gangs too.
+    WithGangs,
+}
+
+/// Share of the jobs that are gangs, where there are any.
+const GANG_SHARE: f64 = 0.4;
+
+fn job(w: &mut World, n: u64, mix: Mix) {
+    let shape = if mix == Mix::WithGangs && w.rng.random_bool(GANG_SHARE) {
+        "ensemble"
+    } else if w.rng.random_bool(0.3) {
+        "standing"
+    } else {
+        "batch"
+    };
     let loads = w.rng.random_range(1..6);
     let mut s = w.spec(n, shape, loads);
+    if shape == "ensemble" {
+        s["lendables"] = json!(w.rng.random_bool(0.5));
+        s["mark_every_s"] = json!(if w.rng.random_bool(0.5) { 2.0 } else { 0.0 });
+        s["mark_cost_s"] = json!(1.0);
+    }
     if w.rng.random_bool(0.3) {
         s["apart"] = json!(true);
     } else if w.rng.random_bool(0.2) {
@@ -198,6 +221,9 @@
         s["yard"] = json!("b");
         s["apart"] = json!(false);
     }
+    if shape == "ensemble" && s["yard"] == "b" {
+        s["together"] = json!(true);
+    }
     let run = if shape == "standing" { u64::MAX } else { w.rng.random_range(500..9_000) };
     let node = w.rng.random_range(0..3);
     w.submit(s, run, node);
@@ -225,7 +251,7 @@
     w.jobs.get_mut(&name).expect("just asked").odd = true;
 }
 
-fn scenario(seed: u64) -> (u32, usize) {
+fn scenario(seed: u64, mix: Mix) -> (u32, usize) {
     let mut w = World::new(seed);
     w.run(3_000);
     let end = w.now + TROUBLED_MS;
@@ -237,7 +263,7 @@
             0..=2 => trouble(&mut w),
             3 | 4 if n < 25 => {
                 n += 1;
-                job(&mut w, n);
+                job(&mut w, n, mix);
             }
             5 if n > 0 && w.rng.random_bool(0.5) => {
                 let uid = format!("job-{:06}", w.rng.random_range(1..=n));
@@ -304,6 +330,18 @@
 
 #[test]
 fn no_seed_breaks_a_rule() {
+    let (starts, done) = all_seeds(Mix::Plain);
+    assert!(starts > 3_500 && done > 550, "the scenarios ran: {starts} starts, {done} jobs done");
+}
+
+#[test]
+fn no_seed_with_gangs_breaks_a_rule() {
+    let (starts, done) = all_seeds(Mix::WithGangs);
+    assert!(starts > 3_500 && done > 550, "the scenarios ran: {starts} starts, {done} jobs done");
+}
+
+/// Plays all seeds; gives the tasks that started and the jobs that were done.
+fn all_seeds(mix: Mix) -> (u32, usize) {
     let seeds = std::env::var(SEEDS_VAR).map_or(SEEDS, |n| n.parse().expect("a number of seeds"));
     // Seeds are independent: a share each for a few threads.
     let threads: Vec<_> = (0..6u64)
@@ -312,7 +350,7 @@
                 (0..seeds)
                     .chain(FOUND)
                     .filter(|s| s % 6 == t)
-                    .map(|s| (s, scenario(s)))
+                    .map(|s| (s, scenario(s, mix)))
                     .collect::<Vec<_>>()
             })
         })
@@ -325,5 +363,5 @@
             done += d;
         }
     }
-    assert!(starts > 3_500 && done > 550, "the scenarios ran: {starts} starts, {done} jobs done");
+    (starts, done)
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 mod cloud;
+mod gangs;
 mod rules;
 mod scenario;
 mod state_service;
@@ -14,7 +15,7 @@
 
 pub use cloud::Cloud;
 pub use state_service::State;
-pub use user::{Asked, Job};
+pub use user::{Asked, GangRun, Job};
 pub use worker::Worker;
 
 use cloud::LAG_MS;
@@ -29,6 +30,11 @@
 pub const REPORT_MS: u64 = 2_000;
 pub const LEASE_MS: u64 = 12_000;
 pub const CANCEL_MS: u64 = 30_000;
+/// Milliseconds for which a task of a gang waits for the others.
+pub const GANG_WAIT_MS: u64 = 15_000;
+/// Milliseconds within which tasks of a gang notice that one is gone, and in which all have to be told
+/// to stop.
+pub const GANG_PEER_MS: u64 = 4_000;
 /// Milliseconds after a cancellation was confirmed within which a start order for its tasks may
 /// still arrive: controllers read the store within 2 s, or know that they did not.
 const START_MS: u64 = 2_100;
@@ -127,9 +133,13 @@
     /// Bytes of the longest answer of a controller to another.
     pub peer_answer_max: usize,
     gpu_max: f64,
+    /// Limits of the state service to come, as controllers that start find them in their settings.
+    pub next_limits: Value,
+    /// A gang was ever submitted.
+    gangs: bool,
 }
 
-fn config(i: usize, n: usize, gpu_max: f64) -> Platform {
+fn config(i: usize, n: usize, gpu_max: f64, next: &Value) -> Platform {
     let peers: Vec<Value> = (0..n)
         .filter(|p| *p != i)
         .map(|p| json!({"label": format!("c-{p}"), "zone": "a", "address": format!("10.0.0.{}:81", p + 1)}))
@@ -140,8 +150,10 @@
         "params": {"nodes": n, "zones": ["a", "b"],
             "teams": [{"name": "red", "gpus": 8.0, "gpus_max": gpu_max}, {"name": "blue"}],
             "workers": {"report_s": REPORT_MS as f64 / 1000.0, "lease_s": LEASE_MS as f64 / 1000.0,
-                        "cancel_s": CANCEL_MS as f64 / 1000.0},
-            "state": {"rps": 200.0, "write_rps": 60.0, "value_kb": 4.0, "txn_ops": 8},
+                        "cancel_s": CANCEL_MS as f64 / 1000.0,
+                        "gang_wait_s": GANG_WAIT_MS as f64 / 1000.0,
+                        "gang_peer_s": GANG_PEER_MS as f64 / 1000.0},
+            "state": {"rps": 200.0, "write_rps": 60.0, "value_kb": 4.0, "txn_ops": 8, "next": next},
             "cloud": {"rps": 8.0, "list_lag_s": LAG_MS as f64 / 1000.0},
             "machine_limits": {"core_share": 0.2, "mem_mb": 100.0, "sockets": 1000}}
     });
@@ -171,6 +183,8 @@
             calm_since: None,
             peer_answer_max: 0,
             gpu_max: 12.0,
+            next_limits: Value::Null,
+            gangs: false,
         };
         for _ in 0..3 {
             w.nodes.push(Node {
@@ -230,7 +244,7 @@
                 let seed = self.rng.random();
                 let n = self.nodes.len();
                 let clock = Clock { mono: self.now, wall: 1_000_000 + self.now };
-                let cfg = config(i, n, self.gpu_max);
+                let cfg = config(i, n, self.gpu_max, &self.next_limits);
                 self.nodes[i].core = Some(Controller::new(cfg, Operator::default(), clock, seed));
                 self.nodes[i].wake = 0;
             }
@@ -248,6 +262,9 @@
         for name in names {
             self.worker_step(&name);
         }
+        if self.gangs {
+            self.gangs_step();
+        }
         for i in 0..self.nodes.len() {
             self.node_step(i);
         }
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -42,7 +42,9 @@
         }
         let begun = self.jobs.get_mut(job).unwrap();
         begun.starts += 1;
-        begun.begun_at.get_or_insert(now);
+        if !begun.is_gang() {
+            begun.begun_at.get_or_insert(now);
+        }
         self.broken.extend(broken);
     }
 
@@ -89,7 +91,11 @@
                     && (j.spec["apart"] != true || here < j.loads.div_ceil(2))
                     && (j.spec["together"] != true || here == n)
             };
-            if !over && n < left && !limited && room.iter().any(fits) {
+            let waits = match j.is_gang() {
+                true => !over && n == 0 && left > 0 && self.room_for_gang(j, &room, red),
+                false => !over && n < left && !limited && room.iter().any(fits),
+            };
+            if waits {
                 waiting.push(uid.clone());
             }
         }
--- a/tests/world/scenario.rs
+++ b/tests/world/scenario.rs
@@ -74,7 +74,7 @@
         let uids: Vec<String> =
             self.jobs.iter().filter(|(_, j)| kept(j)).map(|(u, _)| u.clone()).collect();
         for uid in &uids {
-            if self.jobs[uid].spec["shape"] == "batch" {
+            if self.jobs[uid].spec["shape"] != "standing" {
                 self.until_done(uid, 240_000);
             } else {
                 let n = self.jobs[uid].loads as usize;
--- a/tests/world/state_service.rs
+++ b/tests/world/state_service.rs
@@ -46,6 +46,11 @@
     pub busy: bool,
     /// Share of answers that are nonsense.
     pub nonsense: f64,
+    /// Bytes of a value and changes of a transaction, once they are lower than in the settings. What is
+    /// larger is refused.
+    pub lowered: Option<(usize, usize)>,
+    /// Transactions that were refused for their size.
+    pub too_large: usize,
 }
 
 impl State {
@@ -89,6 +94,13 @@
         }
         let writes = c["writes"].as_array().cloned().unwrap_or_default();
         assert!(writes.len() <= 8, "too many changes in one transaction");
+        if let Some((value_bytes, ops)) = self.lowered {
+            let large = |w: &Value| w["data"].to_string().len() > value_bytes;
+            if writes.len() > ops || writes.iter().any(large) {
+                self.too_large += 1;
+                return (400, json!({"error": "too large"}));
+            }
+        }
         for w in &writes {
             if let Some(h) = w["tenancy"].as_u64() {
                 if !self.holds.contains_key(&h) {
--- a/tests/world/user.rs
+++ b/tests/world/user.rs
@@ -27,9 +27,17 @@
     pub step_ms: u64,
     /// When it was last seen not to wait beside room for it.
     pub at_ease: u64,
+    /// Progress of a gang that is safe, in milliseconds.
+    pub saved_ms: u64,
+    /// Attempts of a gang whose tasks have all run, with what became of them.
+    pub attempts: BTreeMap<u64, GangRun>,
 }
 
 impl Job {
+    pub fn is_gang(&self) -> bool {
+        self.spec["shape"] == "ensemble"
+    }
+
     pub fn new(spec: Value, loads: u32, run_ms: u64) -> Job {
         Job {
             spec,
@@ -48,10 +56,23 @@
             odd: false,
             step_ms: 0,
             at_ease: 0,
+            saved_ms: 0,
+            attempts: BTreeMap::new(),
         }
     }
 }
 
+/// An attempt of a gang that has started.
+#[derive(Clone, Debug)]
+pub struct GangRun {
+    /// Progress in milliseconds, earlier attempts' included.
+    pub progress_ms: u64,
+    /// When a task was first told to stop.
+    pub halted_at: Option<u64>,
+    /// When a task was first missing.
+    pub broken_at: Option<u64>,
+}
+
 /// A user's request.
 pub struct Asked {
     pub(super) uid: String,
@@ -74,6 +95,7 @@
     pub fn submit(&mut self, spec: Value, run_ms: u64, node: usize) -> u64 {
         let uid = spec["uid"].as_str().unwrap().to_string();
         let loads = spec["loads"].as_u64().unwrap_or(0) as u32;
+        self.gangs |= spec["shape"] == "ensemble";
         self.jobs.entry(uid.clone()).or_insert(Job::new(spec.clone(), loads, run_ms));
         self.ask(node, &uid, "submit", "POST", "/v1/jobs".into(), spec.to_string().into_bytes())
     }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -5,7 +5,12 @@
 #[derive(Clone, PartialEq, Debug)]
 pub(super) enum Run {
     Pulling(u64),
-    Running { left: u64, begun: u64 },
+    /// A task of a gang that waits for the others since then.
+    Waiting(u64),
+    Running {
+        left: u64,
+        begun: u64,
+    },
     Flushing(u64),
     Ended(&'static str),
 }
@@ -84,7 +89,9 @@
         self.tasks
             .iter()
             .filter(|(_, v)| {
-                v.iter().any(|t| matches!(t.run, Run::Running { .. } | Run::Flushing(_)))
+                v.iter().any(|t| {
+                    matches!(t.run, Run::Waiting(_) | Run::Running { .. } | Run::Flushing(_))
+                })
             })
             .map(|(k, _)| k.clone())
             .collect()
@@ -130,6 +137,9 @@
                             t.run = Run::Ended("error");
                         } else if j.done_tasks.contains(task) {
                             t.run = Run::Ended("done");
+                        } else if j.is_gang() {
+                            t.run = Run::Waiting(now);
+                            starts.push((job.clone(), *task));
                         } else {
                             let left = j.run_ms.saturating_add(u64::from(*task) * j.step_ms);
                             t.run = Run::Running { left, begun: now };
@@ -137,6 +147,8 @@
                         }
                         w.changed = true;
                     }
+                    // Gangs go on together, see `gangs.rs`.
+                    Run::Waiting(_) => {}
                     Run::Running { left, .. } if *left == u64::MAX => {}
                     Run::Running { left, .. } if *left > STEP_MS => *left -= STEP_MS,
                     Run::Running { .. } => {
@@ -210,6 +222,8 @@
                 let load = format!("{job}/{task}");
                 let (status, cause) = match t.run {
                     Run::Pulling(_) => ("pulling", None),
+                    Run::Waiting(_) => ("waiting", None),
+                    Run::Flushing(_) if self.jobs[job].is_gang() => ("running", None),
                     Run::Running { .. } => ("running", None),
                     Run::Flushing(_) => ("flushing", None),
                     Run::Ended(c) => ("ended", Some(c)),
@@ -315,6 +329,10 @@
                     list.last_mut().unwrap().run = Run::Ended("no_room");
                 }
             }
+            "halt" if self.jobs[job].is_gang() => {
+                let grace_s = o["wind_down_s"].as_f64().expect("a duration");
+                self.halt_gang_task(name, job, task.parse().unwrap(), attempt, grace_s);
+            }
             "halt" => {
                 for t in list.iter_mut().filter(|t| t.attempt == attempt) {
                     if !matches!(t.run, Run::Ended(_)) {
