Status tells what a gang waits for

A job's reason to wait is a type of its own (wait_reason): for gangs storing, images and starts, the last attempt, size; for all jobs room and the team's limit are told apart.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,6 +21,7 @@
 pub mod status;
 mod sync;
 mod users;
+mod wait_reason;
 mod workers;
 
 pub use leader::Leader;
--- a/src/coordination/status.rs
+++ b/src/coordination/status.rs
@@ -2,7 +2,7 @@
 
 use super::metrics::{Latencies, WorkCounts};
 use super::{Controller, Leader};
-use crate::storage::cluster::{Life, Machine};
+use crate::storage::cluster::{Job, Life, Machine};
 use crate::storage::records::Stage;
 use crate::transport::counts::TransportCounts;
 use serde::Serialize;
@@ -169,7 +169,7 @@
             work: self.metrics.work,
             transport: self.metrics.transport,
             machines: listed.map(Leader::machine_lines),
-            waiting: listed.map(|leader| leader.waiting_lines(self.now.mono)),
+            waiting: listed.map(|leader| self.waiting_lines(leader)),
         }
     }
 
@@ -182,6 +182,18 @@
         }
     }
 
+    /// The oldest waiting jobs, with what they wait for.
+    fn waiting_lines(&self, leader: &Leader) -> Vec<WaitingLine> {
+        let cluster = &leader.cluster;
+        let jobs = cluster.queue.values().filter_map(|uid| cluster.jobs.get(uid));
+        let line = |job: &Job| {
+            let why = self.wait_reason(leader, job)?.to_string();
+            let (waiting, done, tasks) = (job.waiting(), job.done_count, job.tasks);
+            Some(WaitingLine { uid: job.uid.to_string(), waiting, done, tasks, why })
+        };
+        jobs.filter_map(line).take(WAITING_SHOWN).collect()
+    }
+
     fn held_sums(&self) -> HeldSums {
         let copy = HeldSums {
             jobs: self.replica.jobs.len(),
@@ -228,26 +240,4 @@
         };
         self.cluster.machines.values().map(line).collect()
     }
-
-    /// The oldest waiting jobs, with what they wait for.
-    fn waiting_lines(&self, now: u64) -> Vec<WaitingLine> {
-        let jobs = self.cluster.queue.values().filter_map(|uid| self.cluster.jobs.get(uid));
-        let waiting = jobs.filter(|job| job.waiting() > 0).take(WAITING_SHOWN);
-        let line = |job: &crate::storage::cluster::Job| {
-            let reserved = self.reservation.as_ref().filter(|(uid, _)| *uid == job.uid);
-            let why = match reserved {
-                Some((_, machine)) => format!("reserved on {machine}"),
-                None if job.paused_until > now => "failed on several machines, paused".into(),
-                None => "no room that allows it, or its team is at its limit".into(),
-            };
-            WaitingLine {
-                uid: job.uid.to_string(),
-                waiting: job.waiting(),
-                done: job.done_count,
-                tasks: job.tasks,
-                why,
-            }
-        };
-        waiting.map(line).collect()
-    }
 }
--- a/src/storage/cluster.rs
+++ b/src/storage/cluster.rs
@@ -742,6 +742,13 @@
         room
     }
 
+    /// A job's tasks on machines.
+    pub fn placements_of<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = &'a Placement> {
+        job.placed.iter().filter_map(|(task, machine)| {
+            self.machines.get(machine)?.placements.get(&(job.uid.clone(), *task))
+        })
+    }
+
     /// Whether a job's tasks run until it is withdrawn.
     pub fn is_service(&self, uid: &str) -> bool {
         self.jobs.get(uid).and_then(|j| j.spec.as_ref()).is_some_and(|s| s.kind == JobKind::Service)
--- a/src/storage/gangs.rs
+++ b/src/storage/gangs.rs
@@ -83,12 +83,7 @@
             return GangPhase::Unplaced;
         }
         let all = job.placed.len() == job.tasks as usize;
-        let any = |test: &dyn Fn(&Placement) -> bool| {
-            job.placed.iter().any(|(task, machine)| {
-                let machine = self.machines.get(machine);
-                machine.and_then(|m| m.placements.get(&(job.uid.clone(), *task))).is_some_and(test)
-            })
-        };
+        let any = |test: &dyn Fn(&Placement) -> bool| self.placements_of(job).any(test);
         if !all || any(&|p| p.halt.is_some()) {
             return GangPhase::Stopping;
         }
--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -471,3 +471,31 @@
         w.until_done(&uid, 240_000);
     }
 }
+
+/// What the leader's status says that a job waits for.
+fn waits_for(w: &World, uid: &str) -> String {
+    let leader = w.leader().and_then(|l| w.nodes[l].core.as_ref()).expect("a leader");
+    let view = json!(leader.status_view(true));
+    let lines = view["waiting"].as_array().expect("a list").clone();
+    let line = lines.iter().find(|line| line["uid"] == uid);
+    line.map_or(String::new(), |line| line["why"].as_str().expect("a reason").to_string())
+}
+
+#[test]
+fn status_tells_what_a_gang_waits_for() {
+    let mut w = led(11);
+    let (_, silent) = half_started(&mut w);
+    assert!(waits_for(&w, "job-000001").contains("are to start"), "{}", w.view());
+    w.workers.get_mut(&silent).expect("a machine").cut = true;
+    w.until(LEASE_MS, "it is given up", |w| {
+        waits_for(w, "job-000001").contains("of its last attempt")
+    });
+    w.workers.get_mut(&silent).expect("a machine").cut = false;
+    until_runs(&mut w, "job-000001");
+    w.run(1_500);
+    assert_eq!(waits_for(&w, "job-000001"), "", "it runs");
+    let second = gang(&w, 2, 6);
+    w.submit(second, 1_000, 0);
+    w.run(1_500);
+    assert_eq!(waits_for(&w, "job-000002"), "its team is at its limit");
+}
