The fleet's scenarios with four thousand machines

Fill, all controllers ended and back in mid-election, a third of the fleet silent and back with late copies: in counts of commits, machines and starts, as before with 1,900.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! Stories of a fleet of nearly two thousand machines. What is bounded is counted in commits,
+//! Stories of a fleet of four thousand machines. What is bounded is counted in commits,
 //! machines and starts, never in seconds of real time.
 
 mod world;
@@ -6,7 +6,7 @@
 use serde_json::json;
 use world::*;
 
-const MACHINES: usize = 1_900;
+const MACHINES: usize = 4_000;
 const JOBS: u64 = 30;
 const TASKS: u32 = 100;
 
