Groups that are too large are divided by every second commit, and gangs' planning is tested

Now a commit that divides holds nothing else that could wait. Unit tests for places of gangs; scenarios for bitmaps and placements that were stored under higher limits, limits that come without notice, and batches kept apart by kind.

--- a/src/coordination/commit_places.rs
+++ b/src/coordination/commit_places.rs
@@ -105,10 +105,16 @@
     }
 
     /// Starts and settlements.
-    pub(super) fn pack_places(&mut self, p: &mut Packer, f: &mut PendingCommit, batch: bool) {
+    pub(super) fn pack_places(
+        &mut self,
+        p: &mut Packer,
+        f: &mut PendingCommit,
+        batch: bool,
+        dividing: bool,
+    ) {
         let mut leaving = self.leaving_by_group(f);
         let mut fill = self.group_fill(p, &leaving);
-        if batch || self.groups.iter().any(|(n, g)| g.urgent && fill.oversized(*n)) {
+        if dividing {
             self.divide_one_group(&mut fill, &leaving, f);
         }
         for (n, g) in &self.groups {
--- a/src/coordination/commit_places/tests.rs
+++ b/src/coordination/commit_places/tests.rs
@@ -41,7 +41,7 @@
 fn a_gang_is_stored_by_one_commit_that_may_write_several_groups() {
     let mut cluster = proposed(50);
     let (mut p, mut f) = (packer(8), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, false);
+    cluster.pack_places(&mut p, &mut f, false, false);
     assert_eq!(f.adds.len(), 50);
     assert!(p.writes.len() > 1);
     assert_eq!(p.ifs.get("mg/2/end/job-1"), Some(&0), "it depends on the job not having ended");
@@ -52,7 +52,7 @@
 fn a_gang_that_does_not_fit_waits_whole() {
     let mut cluster = proposed(50);
     let (mut p, mut f) = (packer(1), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, false);
+    cluster.pack_places(&mut p, &mut f, false, false);
     assert!(f.adds.is_empty() && p.writes.is_empty(), "{} are stored", f.adds.len());
     assert_eq!(cluster.proposals.len(), 50);
 }
@@ -62,7 +62,7 @@
     let mut cluster = proposed(6);
     cluster.machines.get_mut("n-000002").expect("a machine").life = Life::Gone;
     let (mut p, mut f) = (packer(8), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, false);
+    cluster.pack_places(&mut p, &mut f, false, false);
     assert!(f.adds.is_empty() && p.writes.is_empty());
     assert_eq!(cluster.jobs["job-1"].waiting(), 6);
     assert!(cluster.machines.values().all(|m| m.placements.is_empty()));
@@ -81,10 +81,10 @@
     }
     assert!(cluster.has_oversized_group(VALUE_BYTES));
     let (mut p, mut f) = (packer(2), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, true);
+    cluster.pack_places(&mut p, &mut f, true, true);
     assert!(p.writes.is_empty(), "not unless all parts find room");
     let (mut p, mut f) = (packer(8), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, true);
+    cluster.pack_places(&mut p, &mut f, true, true);
     let stored: usize = p.writes.iter().map(stored_placements).sum();
     assert_eq!(stored, 60, "every placement stands in one of the values");
     cluster.moved(std::mem::take(&mut f.moves));
--- a/src/coordination/commits.rs
+++ b/src/coordination/commits.rs
@@ -103,27 +103,27 @@
             || !l.cluster.complete.is_empty()
             || l.cluster.groups.values().any(|g| g.urgent);
         let oversized = l.cluster.has_oversized_group(self.limits.value_bytes);
+        let dividing = oversized && !l.divided_last;
         if (urgent || batch) && self.served() {
             let left = (self.writes.left(now) - WRITE_RESERVE).max(0.0) as usize;
             let most = self.limits.transaction_ops;
-            // To divide a group takes as many writes as there will be parts, so it waits for them.
+            // To divide a group takes as many writes as it will have parts: every second commit waits
+            // for them, and holds little else, until no group is too large.
             let burst = (self.writes.burst() - WRITE_RESERVE).max(1.0) as usize;
-            let least = match oversized {
-                true => most.min(burst),
-                false => 1,
-            };
+            let least = if dividing { most.min(burst) } else { 1 };
             if left >= least {
-                self.build_commit(batch, left.min(most));
+                self.build_commit(batch, dividing, left.min(most));
                 self.send_commit();
             }
         }
     }
 
     /// Packs what is to be written into one commit, the most urgent first.
-    fn build_commit(&mut self, batch: bool, max_ops: usize) {
+    fn build_commit(&mut self, batch: bool, dividing: bool, max_ops: usize) {
         let now = self.now.mono;
         let cap = self.limits.value_bytes;
         let Some(l) = self.leader.as_mut() else { return };
+        l.divided_last = dividing;
         let mut p = Packer {
             ifs: BTreeMap::from([(leader_key(), l.stamp)]),
             writes: Vec::new(),
@@ -135,7 +135,11 @@
         let mut f = PendingCommit::default();
         let starting = !l.cluster.proposals.is_empty();
         // Ends of jobs: users wait for them, but starts go along.
-        let ends = if starting { max_ops.div_ceil(2) } else { max_ops };
+        let ends = match (dividing, starting) {
+            (true, _) => 0,
+            (false, true) => max_ops.div_ceil(2),
+            (false, false) => max_ops,
+        };
         for uid in &l.cluster.complete {
             let Some(job) = l.cluster.jobs.get(uid) else { continue };
             let rec = EndRec {
@@ -149,12 +153,12 @@
             }
             f.finishes.push(uid.clone());
         }
-        if batch {
+        if batch && !dividing {
             l.done_at = now + DONE_BATCH_MS;
             l.cluster.pack_done(&mut p, &mut f, usize::from(starting));
         }
-        l.cluster.pack_places(&mut p, &mut f, batch);
-        if batch {
+        l.cluster.pack_places(&mut p, &mut f, batch, dividing);
+        if batch && !dividing {
             // Hints and tidying up only with writes to spare.
             let plenty = self.writes.left(now) >= self.writes.burst() * WRITES_SHORT_SHARE;
             if plenty {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -82,6 +82,8 @@
     status_log_at: u64,
     counter: u64,
     pub(super) pending_commit: Option<PendingCommit>,
+    /// The last commit was there to divide a group that is too large.
+    pub(super) divided_last: bool,
     plan_at: u64,
     planned_at: u64,
     pub(super) done_at: u64,
@@ -117,6 +119,7 @@
             status_log_at: now + STATUS_LOG_PERIOD_MS,
             counter: 0,
             pending_commit: None,
+            divided_last: false,
             plan_at: now,
             planned_at: 0,
             done_at: now,
--- a/src/coordination/planner/gang.rs
+++ b/src/coordination/planner/gang.rs
@@ -287,3 +287,6 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -61,6 +61,26 @@
     assert!(machines_of(&w, &uid).is_empty());
 }
 
+#[test]
+fn what_a_program_from_before_gangs_has_to_read_holds_none() {
+    let mut w = led(12);
+    for n in 1..=12 {
+        let mut spec = if n % 2 == 0 { gang(&w, n, 2) } else { w.spec(n, "batch", 2) };
+        spec["crew"] = json!("blue");
+        w.submit(spec, 2_000, 0);
+    }
+    w.run(1_000);
+    let holds = |prefix: &str, shape: &str| {
+        w.state.under(prefix).iter().any(|(_, data)| data.to_string().contains(shape))
+    };
+    assert!(holds("mg/2/jobs/", "batch") && holds("mg/2/gangs/", "ensemble"));
+    assert!(!holds("mg/2/jobs/", "ensemble") && !holds("mg/2/gangs/", "batch"));
+    (1..=12).for_each(|n| w.until_done(&format!("job-{n:06}"), 60_000));
+    w.until(30_000, "their batches are removed", |w| {
+        w.state.under("mg/2/gangs/").is_empty() && w.state.under("mg/2/jobs/").is_empty()
+    });
+}
+
 #[test]
 fn a_gang_that_fits_on_one_machine_is_not_spread() {
     let mut w = led(2);
@@ -418,30 +438,38 @@
 
 #[test]
 fn what_was_stored_under_higher_limits_is_divided_and_blocks_nothing() {
-    let mut w = World::fleet(9, 60);
+    let mut w = World::fleet(9, 130);
     w.until(10_000, "a leader", |w| w.leader().is_some());
     w.run(3_000);
     let mut spec = w.spec(1, "batch", 220);
     spec["crew"] = json!("blue");
-    w.submit(spec, 40_000, 0);
+    w.submit(spec, 150_000, 0);
     for n in 2..90 {
         let mut spec = w.spec(n, "batch", 3);
         spec["crew"] = json!("blue");
-        w.submit(spec, 30_000 + n * 100, n as usize % 3);
+        let uid = spec["uid"].as_str().expect("an id").to_string();
+        w.submit(spec, 2_000, n as usize % 3);
+        // The first task of each is done soon, the others are not.
+        w.jobs.get_mut(&uid).expect("just asked").step_ms = 40_000;
     }
-    w.until(60_000, "the fleet is full", |w| w.running() >= 220);
-    let largest = |w: &World| {
-        let sizes = w.state.under("mg/2/").into_iter().map(|(_, data)| data.to_string().len());
+    w.until(60_000, "a task of each is done", |w| {
+        w.jobs.values().skip(1).all(|job| !job.done_tasks.is_empty())
+    });
+    w.run(5_000);
+    let largest = |w: &World, prefix: &str| {
+        let sizes = w.state.under(prefix).into_iter().map(|(_, data)| data.to_string().len());
         sizes.max().unwrap_or(0)
     };
-    assert!(largest(&w) > 2_048, "values of the old size: {}", largest(&w));
+    for prefix in ["mg/2/place/", "mg/2/done/"] {
+        assert!(largest(&w, prefix) > 2_048, "{prefix}: {}", largest(&w, prefix));
+    }
     // A version that knows of the limits takes over, one controller after the other.
     w.next_limits = next_limits();
     for i in 0..3 {
         w.crash(i, 500);
         w.run(3_000);
     }
-    w.run(10_000);
+    w.until(20_000, "all is divided", |w| largest(w, "mg/2/place/") <= 2_048);
     w.state.lowered = Some((2_048, 4));
     let spec = gang(&w, 500, 12);
     w.submit(spec, 3_000, 0);
@@ -454,7 +482,9 @@
 
 #[test]
 fn limits_that_come_without_notice_in_the_settings_stall_nothing() {
-    let mut w = led(10);
+    let mut w = World::fleet(10, 60);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.run(3_000);
     w.state.lowered = Some((2_048, 4));
     for n in 1..40 {
         let mut spec = w.spec(n, "batch", 4);
@@ -462,6 +492,7 @@
         w.submit(spec, 2_000, n as usize % 3);
     }
     w.run(3_000);
+    assert!(w.state.too_large > 0, "something was refused for its size");
     for n in 1..40 {
         let uid = format!("job-{n:06}");
         if w.jobs[&uid].accepted_at.is_none() {
@@ -470,6 +501,7 @@
         }
         w.until_done(&uid, 240_000);
     }
+    assert!(w.state.too_large < 20, "refused {} times", w.state.too_large);
 }
 
 /// What the leader's status says that a job waits for.
