--- a/examples/platform.rs
+++ b/examples/platform.rs
@@ -4,10 +4,15 @@
 //!
 //!     cargo run --release --example platform
 //!     target/release/mountgap serve --config examples/node.json
+//!
+//! Several controllers, labelled `node-0`, `node-1` and so on: give their addresses in that order.
+//!
+//!     cargo run --release --example platform -- 127.0.0.1:8080 127.0.0.1:8082 127.0.0.1:8084
 
+use mountgap::storage::records;
 use mountgap::transport::http::{self, Request};
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -16,6 +21,7 @@
 
 const STATE: &str = "127.0.0.1:2379";
 const CLOUD: &str = "127.0.0.1:8443";
+/// Where workers report unless the command line names other controllers.
 const CONTROLLER: &str = "127.0.0.1:8080";
 /// Seconds between a worker's reports, and from a rental to the first of them.
 const REPORT_S: u64 = 1;
@@ -30,11 +36,43 @@
     hires: HashMap<String, Vec<String>>,
     hosts: BTreeMap<String, (String, bool, Instant)>,
     counter: u64,
+    /// Addresses of the controllers.
+    controllers: Vec<String>,
+    /// Tasks of each gang's attempt that are there, and when the last of them came.
+    gangs: HashMap<(String, u64), GangAttempt>,
+}
+
+/// An attempt of a gang.
+#[derive(Default, Clone)]
+struct GangAttempt {
+    tasks: BTreeSet<String>,
+    started: Option<Instant>,
 }
 
 type Shared = Arc<Mutex<World>>;
-/// When a task ends by itself, and why it has ended.
-type Task = (Option<Instant>, Option<&'static str>);
+
+/// A task on a worker.
+struct Task {
+    /// How long it runs; none: until it is halted.
+    run: Option<Duration>,
+    /// When it began; none for a task of a gang that waits for the others.
+    began: Option<Instant>,
+    /// Tasks of its gang; 0 for other jobs.
+    gang: usize,
+    /// Why it has ended.
+    cause: Option<&'static str>,
+}
+
+impl Task {
+    fn status(&self) -> &'static str {
+        match (self.cause, self.began) {
+            (Some(_), _) => "ended",
+            (None, Some(_)) => "running",
+            (None, None) => "waiting",
+        }
+    }
+}
+
 type Handler = fn(&Shared, &Request) -> (u16, Value);
 
 impl World {
@@ -236,37 +274,48 @@
     thread::sleep(Duration::from_secs(BOOT_S));
     let mut tasks: BTreeMap<(String, u64), Task> = BTreeMap::new();
     let (mut tally, mut baton) = (0, 0);
+    let controllers = world.lock().unwrap().controllers.clone();
+    let mut at = 0;
     loop {
         let Some((yard, spot, _)) = world.lock().unwrap().hosts.get(name).cloned() else { return };
-        for (end, cause) in tasks.values_mut() {
-            if cause.is_none() && end.is_some_and(|t| Instant::now() >= t) {
-                *cause = Some("done");
+        for ((load, attempt), task) in &mut tasks {
+            if task.gang > 0 && task.began.is_none() && task.cause.is_none() {
+                task.began = gang_start(world, load, *attempt, task.gang);
+            }
+            let end = task.began.and_then(|t| Some(t + task.run?));
+            if task.cause.is_none() && end.is_some_and(|t| Instant::now() >= t) {
+                task.cause = Some("done");
             }
         }
         let loads: Vec<Value> = tasks
             .iter()
-            .map(|((load, attempt), (_, cause))| {
-                let status = if cause.is_some() { "ended" } else { "running" };
-                json!({"load": load, "try": attempt, "status": status, "cause": cause})
+            .map(|((load, attempt), task)| {
+                json!({"load": load, "try": attempt, "status": task.status(), "cause": task.cause})
             })
             .collect();
         tally += 1;
         let report = json!({"stead": name, "address": "-", "build": "small", "yard": yard,
             "lendables": spot, "tenure": 1, "tally": tally, "baton": baton, "recall_s": null,
             "loads": loads});
-        if let Some((200, answer)) = post(CONTROLLER, "/checkin", &report) {
+        let answer = post(&controllers[at], "/checkin", &report);
+        match &answer {
+            Some((200, _)) => {}
+            Some((421, body)) => at = named(&body["steward"]).unwrap_or(at + 1) % controllers.len(),
+            _ => at = (at + 1) % controllers.len(),
+        }
+        if let Some((200, answer)) = answer {
             baton = answer["baton"].as_u64().unwrap_or(baton);
             for o in answer["orders"].as_array().into_iter().flatten() {
                 let load = o["load"].as_str().unwrap_or_default().to_string();
                 let key = (load.clone(), o["try"].as_u64().unwrap_or(0));
                 match o["verb"].as_str() {
                     Some("start") => {
-                        tasks.entry(key).or_insert_with(|| (end_of(world, &load), None));
+                        tasks.entry(key).or_insert_with(|| task_of(world, &load));
                         println!("{name}: {load} starts");
                     }
                     Some("halt") => {
                         if let Some(t) = tasks.get_mut(&key) {
-                            t.1 = t.1.or(Some("halted"));
+                            t.cause = t.cause.or(Some("halted"));
                         }
                     }
                     _ => {
@@ -279,19 +328,46 @@
     }
 }
 
-/// When a task that starts now ends by itself. Workers get a job's description from its user;
-/// here it is looked up where the controller keeps it.
-fn end_of(world: &Shared, load: &str) -> Option<Instant> {
+/// The controller that a redirect names, by its place.
+fn named(label: &Value) -> Option<usize> {
+    label.as_str()?.strip_prefix("node-")?.parse().ok()
+}
+
+/// A task that is told to start. Workers get a job's description from its user; here it is looked up
+/// where the controllers keep it.
+fn task_of(world: &Shared, load: &str) -> Task {
     let job = load.split('/').next().unwrap_or_default();
     let w = world.lock().unwrap();
+    let batches = [records::batch_key(""), records::gang_batch_key("")];
     let mut specs = w
         .keys
         .iter()
-        .filter(|(k, _)| k.starts_with(&mountgap::storage::records::batch_key("")))
+        .filter(|(key, _)| batches.iter().any(|prefix| key.starts_with(prefix)))
         .flat_map(|(_, v)| v.0["jobs"].as_array().into_iter().flatten());
-    let spec = specs.find(|s| s["uid"] == job)?;
-    let run = spec["run_guess_s"].as_f64().unwrap_or(0.0);
-    (spec["shape"] == "batch").then(|| Instant::now() + Duration::from_secs_f64(run))
+    let spec = specs.find(|spec| spec["uid"] == job).cloned().unwrap_or_default();
+    let run = Duration::from_secs_f64(spec["run_guess_s"].as_f64().unwrap_or(0.0));
+    let gang = match spec["shape"] == "ensemble" {
+        true => spec["loads"].as_u64().unwrap_or(0) as usize,
+        false => 0,
+    };
+    Task {
+        run: (spec["shape"] != "standing").then_some(run),
+        began: (gang == 0).then(Instant::now),
+        gang,
+        cause: None,
+    }
+}
+
+/// When the last task of a gang's attempt came; none while one is missing.
+fn gang_start(world: &Shared, load: &str, attempt: u64, tasks: usize) -> Option<Instant> {
+    let job = load.split('/').next().unwrap_or_default().to_string();
+    let mut w = world.lock().unwrap();
+    let gang = w.gangs.entry((job, attempt)).or_default();
+    gang.tasks.insert(load.to_string());
+    if gang.tasks.len() >= tasks {
+        gang.started.get_or_insert_with(Instant::now);
+    }
+    gang.started
 }
 
 fn post(address: &str, path: &str, body: &Value) -> Option<(u16, Value)> {
@@ -338,8 +414,12 @@
 }
 
 fn main() {
-    let world = Shared::default();
-    println!("state service on {STATE}, cloud on {CLOUD}, workers report to {CONTROLLER}");
+    let mut controllers: Vec<String> = std::env::args().skip(1).collect();
+    if controllers.is_empty() {
+        controllers.push(CONTROLLER.into());
+    }
+    println!("state service on {STATE}, cloud on {CLOUD}, workers report to {controllers:?}");
+    let world = Shared::new(Mutex::new(World { controllers, ..World::default() }));
     let w = world.clone();
     thread::spawn(move || serve(STATE, w, state));
     serve(CLOUD, world, cloud);
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -290,7 +290,9 @@
             {
                 let gang = job.and_then(|j| j.gang.as_ref());
                 if gang.is_some_and(|gang| may_have_started(gang, p, inherited, h.newest)) {
-                    nowhere.push(id.clone());
+                    if h.ours {
+                        nowhere.push(id.clone());
+                    }
                     continue;
                 }
                 p.ordered = Some(h.newest);
