--- a/src/coordination/commit_places.rs
+++ b/src/coordination/commit_places.rs
@@ -12,7 +12,8 @@
 };
 use crate::protocol::state::raw;
 use crate::protocol::workers::Cause;
-use crate::storage::cluster::{ClusterState, Life, Phase, TaskId};
+use crate::storage::cluster::ClusterState;
+use crate::storage::machine::{Life, Phase, TaskId};
 use crate::storage::records::{end_key, place_key, Name, PlaceRec, Placed, Stage};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/src/coordination/commits.rs
+++ b/src/coordination/commits.rs
@@ -15,8 +15,12 @@
 };
 use crate::protocol::state::Commit;
 use crate::protocol::state::{raw, Committed, Conflict, If, Write, COMMIT_PATH};
-use crate::storage::cluster::*;
-use crate::storage::records::*;
+use crate::storage::cluster::ClusterState;
+use crate::storage::machine::{Life, Phase, TaskId};
+use crate::storage::records::{
+    catalog_key, chunk_name, done_key, end_key, images_key, leader_key, place_key, shares_key,
+    DoneRec, EndRec, ImagesRec, Name, ShareRec, Stage,
+};
 use std::collections::BTreeMap;
 
 /// A placement that a commit stores or takes out.
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -7,7 +7,7 @@
 };
 use crate::protocol::state::Commit;
 use crate::protocol::state::{raw, Committed, If, Lease, NewLease, Write, COMMIT_PATH};
-use crate::storage::records::*;
+use crate::storage::records::{leader_key, term_key, LeaderRec, TermRec};
 use rand::Rng;
 
 /// How far this controller is with becoming leader.
--- a/src/coordination/fleet/consolidation.rs
+++ b/src/coordination/fleet/consolidation.rs
@@ -5,6 +5,7 @@
     ARRIVAL_WINDOW_MS, CLOSE_SHARE, EXCESS_ROOM_MS, HEADROOM_MACHINES, LOW_LOAD_SHARE, MOVE_GAP_MS,
     MOVE_SHARE, UNPLACED_SHARE,
 };
+use crate::storage::machine::Halt;
 
 impl Controller {
     /// Empties the dearest thinly used machines when the others have room for their work and
--- a/src/coordination/fleet/listing.rs
+++ b/src/coordination/fleet/listing.rs
@@ -4,6 +4,7 @@
 use crate::constants::{
     CATALOG_PERIOD_MS, CLOUD_CALL_MS, CLOUD_RETRY_MS, LIST_LIMIT, LIST_MARGIN_MS, MS_PER_S,
 };
+use crate::storage::machine::Phase;
 
 impl Controller {
     pub(in crate::coordination) fn catalog_due(&mut self) {
--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -15,8 +15,9 @@
 use crate::protocol::users::JobKind;
 use crate::protocol::workers::Cause;
 use crate::protocol::Resources;
-use crate::storage::cluster::*;
-use crate::storage::records::*;
+use crate::storage::cluster::ClusterState;
+use crate::storage::machine::{Life, Machine, Placement, TaskId};
+use crate::storage::records::Name;
 use std::collections::{HashSet, VecDeque};
 
 /// A rental under way. Its name is never used for another one.
--- a/src/coordination/gangs.rs
+++ b/src/coordination/gangs.rs
@@ -8,8 +8,8 @@
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::Cause;
 use crate::settings::Workers;
-use crate::storage::cluster::{Halt, Life, Machine, Phase, Placement};
 use crate::storage::limits::StoreLimits;
+use crate::storage::machine::{Halt, Life, Machine, Phase, Placement};
 use crate::storage::records::Name;
 use std::collections::BTreeSet;
 
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -18,8 +18,9 @@
 use crate::protocol::workers::Cause;
 use crate::protocol::Resources;
 use crate::storage::budget::Bucket;
-use crate::storage::cluster::*;
-use crate::storage::records::*;
+use crate::storage::cluster::ClusterState;
+use crate::storage::machine::{Halt, Life, Machine, Phase};
+use crate::storage::records::Name;
 use std::collections::BTreeMap;
 
 /// A commit that is under way.
--- a/src/coordination/report_evidence.rs
+++ b/src/coordination/report_evidence.rs
@@ -5,7 +5,7 @@
 use crate::protocol::cloud::Catalog;
 use crate::protocol::workers::{Cause, Report, TaskReport};
 use crate::protocol::{parse_task, Resources};
-use crate::storage::cluster::{Life, Machine, TaskId};
+use crate::storage::machine::{Life, Machine, TaskId};
 use crate::storage::records::Name;
 use std::collections::HashMap;
 
--- a/src/coordination/snapshot.rs
+++ b/src/coordination/snapshot.rs
@@ -10,7 +10,7 @@
 use crate::protocol::users::{JobKind, Priority};
 use crate::protocol::Resources;
 use crate::settings::{Operator, Platform};
-use crate::storage::cluster::*;
+use crate::storage::machine::{Life, Machine, TaskId};
 use crate::storage::records::Name;
 use std::collections::{HashMap, HashSet};
 
--- a/src/coordination/status.rs
+++ b/src/coordination/status.rs
@@ -2,7 +2,8 @@
 
 use super::metrics::{Latencies, WorkCounts};
 use super::{Controller, Leader};
-use crate::storage::cluster::{Job, Life, Machine};
+use crate::storage::job::Job;
+use crate::storage::machine::{Life, Machine};
 use crate::storage::records::Stage;
 use crate::transport::counts::TransportCounts;
 use serde::Serialize;
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -19,7 +19,9 @@
 use crate::protocol::users::JobSpec;
 use crate::protocol::users::*;
 use crate::protocol::Resources;
-use crate::storage::records::*;
+use crate::storage::records::{
+    batch_key, end_key, gang_batch_key, BatchRec, EndRec, JobRec, Stage,
+};
 use crate::storage::replica::Stamped;
 use std::collections::BTreeSet;
 use std::rc::Rc;
--- a/src/coordination/wait_reason.rs
+++ b/src/coordination/wait_reason.rs
@@ -4,8 +4,8 @@
 use super::{Controller, Leader};
 use crate::protocol::workers::TaskStatus;
 use crate::protocol::Resources;
-use crate::storage::cluster::Job;
 use crate::storage::gangs::GangPhase;
+use crate::storage::job::Job;
 use crate::storage::records::Name;
 use std::fmt;
 
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -16,9 +16,10 @@
 use crate::protocol::workers::*;
 use crate::protocol::{parse_task, task_name};
 use crate::settings::Platform;
-use crate::storage::cluster::*;
+use crate::storage::cluster::ClusterState;
 use crate::storage::gangs::GangState;
-use crate::storage::records::*;
+use crate::storage::machine::{Halt, Life, Phase, Placement, TaskId};
+use crate::storage::records::{Name, Stage};
 use std::collections::BTreeSet;
 
 /// A report whose answer waits for a commit that may bring commands.
--- a/src/storage/cluster/tests.rs
+++ b/src/storage/cluster/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::protocol::state::raw;
+use crate::storage::records::batch_key;
 use crate::storage::records::tests::batch_of;
 
 #[test]
--- a/src/storage/gangs.rs
+++ b/src/storage/gangs.rs
@@ -5,7 +5,9 @@
 //! last is proved gone and that is in the store. So an attempt never gets a replacement, and an
 //! attempt number is still used only once on a machine for a task.
 
-use super::cluster::{ClusterState, Halt, Job, Placement};
+use super::cluster::ClusterState;
+use super::job::Job;
+use super::machine::{Halt, Placement};
 use super::records::{Name, Stage};
 use crate::constants::{DONE_CHUNK_TASKS, GANG_RETRY_MAX_MS, GANG_RETRY_MS};
 use crate::protocol::workers::Cause;
@@ -87,7 +89,7 @@
         if !all || any(&|p| p.halt.is_some()) {
             return GangPhase::Stopping;
         }
-        if any(&|p| p.phase == super::cluster::Phase::Proposed) {
+        if any(&|p| p.phase == super::machine::Phase::Proposed) {
             return GangPhase::Storing;
         }
         if any(&|p| p.running_since.is_none()) {
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -1,14 +1,16 @@
 //! What is stored and what is counted.
 //!
 //! [`records`] are the stored forms, [`replica`] is a controller's copy of the store,
-//! [`cluster`] is the leader's state on top of it, [`reservation`] is the table of
+//! [`cluster`] is the leader's state on top of it, with every [`job`] and [`machine`], [`reservation`] is the table of
 //! running tasks and estimated ends, [`budget`] keeps request rates, [`limits`] what the state service
 //! allows, [`gangs`] what holds for tasks that run together.
 
 pub mod budget;
 pub mod cluster;
 pub mod gangs;
+pub mod job;
 pub mod limits;
+pub mod machine;
 pub mod records;
 pub mod replica;
 pub mod reservation;
--- a/src/storage/replica.rs
+++ b/src/storage/replica.rs
@@ -5,7 +5,10 @@
 //! skipped. Own commits are put in at once, ahead of the watch; what they removed is
 //! remembered until the revision has passed.
 
-use super::records::*;
+use super::records::{
+    chunk_name, foreign_layout, parse_key, BatchRec, Bitmap, DoneRec, EndRec, ImagesRec, JobRec,
+    Key, LeaderRec, Name, PlaceRec, ShareRec, Stage, TermRec,
+};
 use crate::constants::{ARRIVAL_BITS, DONE_CHUNK_TASKS};
 use crate::protocol::cloud::Catalog;
 use crate::protocol::state::{Changes, Event, Item};
--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -469,8 +469,14 @@
         w.crash(i, 500);
         w.run(3_000);
     }
-    w.until(20_000, "all is divided", |w| largest(w, "mg/2/place/") <= 2_048);
+    w.until(20_000, "placements are divided", |w| largest(w, "mg/2/place/") <= 2_048);
     w.state.lowered = Some((2_048, 4));
+    // Bitmaps are once a task of theirs has ended.
+    w.until(80_000, "bitmaps are divided", |w| largest(w, "mg/2/done/") <= 2_048);
+    let jobs = || w.jobs.iter().filter(|(_, job)| job.loads == 3);
+    let stored = w.state.under("mg/2/done/");
+    let kept = |uid: &str| stored.iter().any(|(_, data)| data.to_string().contains(uid));
+    assert!(jobs().all(|(uid, job)| job.done_told.is_some() || kept(uid)), "no bitmap is lost");
     let spec = gang(&w, 500, 12);
     w.submit(spec, 3_000, 0);
     let uids: Vec<String> = w.jobs.keys().cloned().collect();
@@ -492,6 +498,10 @@
         w.submit(spec, 2_000, n as usize % 3);
     }
     w.run(3_000);
+    let mut wide = w.spec(100, "batch", 200);
+    wide["crew"] = json!("blue");
+    w.submit(wide, 60_000, 0);
+    w.until(30_000, "all of it runs", |w| w.running_of("job-000100") == 200);
     assert!(w.state.too_large > 0, "something was refused for its size");
     for n in 1..40 {
         let uid = format!("job-{n:06}");
