--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -19,6 +19,7 @@
 mod report_evidence;
 mod snapshot;
 pub mod status;
+mod submissions;
 mod sync;
 mod users;
 mod wait_reason;
@@ -193,8 +194,8 @@
     ended_by_peers: HashSet<Name>,
     metrics: metrics::Metrics,
     /// Submissions that gather for a batch, and batches on their way.
-    gathering: Vec<users::Pending>,
-    batches: HashMap<u64, users::Batch>,
+    gathering: Vec<submissions::Pending>,
+    batches: HashMap<u64, submissions::Batch>,
     batches_made: u64,
 }
 
--- /dev/null
+++ b/src/coordination/submissions.rs
@@ -0,0 +1,366 @@
+//! Submissions: what can be accepted, and the batches in which it is.
+//!
+//! Submissions that come together are accepted with one write, a batch. None is answered before its
+//! batch is committed or known from a read.
+
+use super::gangs::{gang_tasks_max, zones_suffice};
+use super::sync::Waiter;
+use super::{Asker, Controller, Purpose};
+use crate::constants::{
+    ARRIVAL_BITS, BATCHES_IN_FLIGHT, BATCH_FRAME_BYTES, BATCH_GATHER_MS, BATCH_HEDGE_MS,
+    BATCH_WAIT_MS, COMMIT_BYTES, COMMIT_FRAME_BYTES, CONDITIONS_PER_CHANGE, RETRY_AFTER_BUSY_S,
+    RETRY_AFTER_S, STATE_CALL_MS, USER_WAIT_MAX, WRITES_SHORT_SHARE, WRITE_KEEP_USERS,
+};
+use crate::protocol::cloud::Catalog;
+use crate::protocol::state::{raw, Commit, Committed, Conflict, If, Write, COMMIT_PATH};
+use crate::protocol::users::{parse_submission, submitted_uid, Accepted, JobSpec, Status};
+use crate::protocol::Resources;
+use crate::storage::records::{batch_key, end_key, gang_batch_key, BatchRec, Stage};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// A submission that gathers for a batch, with everyone who asked for it.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    askers: Vec<Asker>,
+    spec: Rc<JobSpec>,
+    bytes: usize,
+    at: u64,
+}
+
+/// Jobs that are stored in one value: all of them gangs, or none.
+#[derive(Debug)]
+struct BatchValue {
+    gangs: bool,
+    bytes: usize,
+    jobs: Vec<Rc<JobSpec>>,
+}
+
+impl BatchValue {
+    /// Whether a job may stand in this value, of which `cap` bytes are for jobs.
+    fn takes(&self, job: &Pending, cap: usize) -> bool {
+        self.gangs == job.spec.is_gang() && self.bytes + job.bytes <= cap
+    }
+
+    fn add(&mut self, job: &Pending) {
+        self.bytes += job.bytes;
+        self.jobs.push(job.spec.clone());
+    }
+
+    /// The key that this value is stored under.
+    fn key(&self, id: &str) -> String {
+        match self.gangs {
+            true => gang_batch_key(id),
+            false => batch_key(id),
+        }
+    }
+}
+
+/// A batch of submissions on its way.
+#[derive(Debug)]
+pub(crate) struct Batch {
+    jobs: Vec<Pending>,
+    /// The jobs as divided into values.
+    values: Vec<BatchValue>,
+    sent_at: u64,
+    /// Copies sent, and those not answered yet.
+    copies: u32,
+    out: u32,
+}
+
+impl Controller {
+    pub(super) fn submit(&mut self, asker: Asker, body: &[u8]) {
+        let (uid, value) = match submitted_uid(body) {
+            Ok(v) => v,
+            Err(e) => return self.refuse(asker, 400, &e, None),
+        };
+        if !self.admit(asker, "POST", "/v1/jobs", body) {
+            return;
+        }
+        if let Some(job) = self.replica.jobs.get(uid.as_str()) {
+            if job.value.stage != Stage::Live {
+                return self.answer_known(asker, &uid);
+            }
+            return self.want_fresh(Waiter::Submit { asker, uid, verdict: None, spec: None });
+        }
+        let verdict = match parse_submission(value) {
+            Err(e) => Err((400, e)),
+            Ok(spec) => self.judge(&spec).map(|()| Rc::new(spec)),
+        };
+        match verdict {
+            Ok(spec) => self.commit_job(asker, spec),
+            Err(verdict) => {
+                // It may have been accepted elsewhere a moment ago, with another body.
+                self.want_fresh(Waiter::Submit { asker, uid, verdict: Some(verdict), spec: None })
+            }
+        }
+    }
+
+    /// Whether the job can ever run: 422 with the reason if not, 503 if we can't tell.
+    fn judge(&self, spec: &JobSpec) -> Result<(), (u16, String)> {
+        let Some(team) = self.cfg.params.teams.iter().find(|t| t.name == spec.team) else {
+            return Err((422, format!("unknown team {}", spec.team)));
+        };
+        let Some(catalog) = &self.catalog else {
+            return Err((503, "machine types are not known yet".into()));
+        };
+        let need = spec.need();
+        let fits = catalog.machine_types.iter().any(|b| {
+            spec.machine_types.as_ref().is_none_or(|list| list.contains(&b.type_name))
+                && spec.zone.as_ref().is_none_or(|y| b.zones.contains(y))
+                && Resources::new(b.cores, b.gpus, b.ram_gb).fits(&need)
+        });
+        if !fits {
+            return Err((422, "a task fits no allowed machine type".into()));
+        }
+        let all = need * i64::from(spec.tasks_at_once());
+        let limit = Resources::new(team.cpus_max, team.gpus_max, 0.0);
+        if !all.under(&limit) {
+            return Err((422, "more than the team's limit".into()));
+        }
+        if spec.is_gang() {
+            self.judge_gang(spec, catalog)?;
+        }
+        Ok(())
+    }
+
+    /// What only a gang can fail at: all of its tasks have to be placed at once.
+    fn judge_gang(&self, spec: &JobSpec, catalog: &Catalog) -> Result<(), (u16, String)> {
+        let most = gang_tasks_max(&self.limits);
+        if spec.tasks as usize > most {
+            return Err((422, format!("a gang can have {most} tasks here at the most")));
+        }
+        let allowed =
+            |name: &String| spec.machine_types.as_ref().is_none_or(|list| list.contains(name));
+        let types = catalog.machine_types.iter().filter(|t| allowed(&t.type_name));
+        let zones: BTreeSet<&String> = types
+            .filter(|t| Resources::new(t.cores, t.gpus, t.ram_gb).fits(&spec.need()))
+            .flat_map(|t| &t.zones)
+            .filter(|zone| spec.zone.as_ref().is_none_or(|only| only == *zone))
+            .collect();
+        if !zones_suffice(spec, zones.len()) {
+            return Err((422, "too few zones for all tasks at once".into()));
+        }
+        Ok(())
+    }
+
+    /// Takes a job that is to be accepted into the next batch. A repeat joins the first.
+    fn commit_job(&mut self, asker: Asker, spec: Rc<JobSpec>) {
+        let bytes = raw(&spec).get().len() + BATCH_FRAME_BYTES;
+        if bytes + BATCH_FRAME_BYTES > self.limits.value_bytes {
+            return self.refuse(asker, 422, "the submission is too large to be kept", None);
+        }
+        if self.gathering.len() >= USER_WAIT_MAX {
+            return self.refuse(asker, 503, "too much to do", Some(RETRY_AFTER_BUSY_S));
+        }
+        match self.gathering.iter_mut().find(|p| p.spec.uid == spec.uid) {
+            Some(p) => p.askers.push(asker),
+            None => {
+                self.gathering.push(Pending { askers: vec![asker], spec, bytes, at: self.now.mono })
+            }
+        }
+    }
+
+    /// Writes submissions that have gathered. While writes are short they gather for longer, so
+    /// that one write accepts more of them; none waits for longer than its user would call
+    /// quick, it is passed on or refused then.
+    pub(super) fn batches_due(&mut self) {
+        let now = self.now.mono;
+        let late = |p: &Pending| now > p.at + BATCH_WAIT_MS;
+        for p in self.gathering.extract_if(.., |p| late(p)).collect::<Vec<_>>() {
+            self.pass_submission(p);
+        }
+        // The state service takes a few hundred milliseconds now and then. A second copy, under
+        // keys of its own, is mostly answered at once; whichever comes first counts, as with
+        // any job that stands in two batches.
+        let slow: Vec<u64> = self
+            .batches
+            .iter()
+            .filter(|(_, b)| b.copies == 1 && now > b.sent_at + BATCH_HEDGE_MS)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in slow {
+            self.send_batch(id, 0.0);
+        }
+        let Some(first) = self.gathering.first() else { return };
+        let short = self.writes.left(now) < self.writes.burst() * WRITES_SHORT_SHARE;
+        if short && now < first.at + BATCH_GATHER_MS {
+            return;
+        }
+        if self.batches.len() >= BATCHES_IN_FLIGHT {
+            return;
+        }
+        let cap = self.limits.value_bytes - BATCH_FRAME_BYTES;
+        let txn = self.limits.transaction_ops;
+        let left = self.writes.left(now) - WRITE_KEEP_USERS;
+        let max_ops = (left.max(0.0) as usize).min(txn);
+        // As many values as there are writes for, each filled with jobs.
+        let mut values: Vec<BatchValue> = Vec::new();
+        let mut jobs: Vec<Pending> = Vec::new();
+        let mut wait: Vec<Pending> = Vec::new();
+        let mut bytes = 0;
+        for p in std::mem::take(&mut self.gathering) {
+            // A condition a job and one a value.
+            let fits = jobs.len() + max_ops < (txn * CONDITIONS_PER_CHANGE).min(1 << ARRIVAL_BITS)
+                && bytes + p.bytes <= COMMIT_BYTES - COMMIT_FRAME_BYTES;
+            let open = values.iter().position(|value| value.takes(&p, cap));
+            match open {
+                Some(i) if fits => values[i].add(&p),
+                None if fits && values.len() < max_ops => {
+                    let gangs = p.spec.is_gang();
+                    values.push(BatchValue { gangs, bytes: p.bytes, jobs: vec![p.spec.clone()] });
+                }
+                _ => {
+                    wait.push(p);
+                    continue;
+                }
+            }
+            bytes += p.bytes;
+            jobs.push(p);
+        }
+        self.gathering = wait;
+        if jobs.is_empty() {
+            return;
+        }
+        self.batches_made += 1;
+        let id = self.batches_made;
+        self.batches.insert(id, Batch { jobs, values, sent_at: now, copies: 0, out: 0 });
+        self.send_batch(id, f64::MIN);
+    }
+
+    /// When batches have to be looked at again if nothing comes in before.
+    pub(super) fn batches_wake(&self) -> Option<u64> {
+        let gathered = self.gathering.first().map(|first| {
+            let plenty = self.writes.available_at(self.writes.burst() * WRITES_SHORT_SHARE);
+            let one = self.writes.available_at(WRITE_KEEP_USERS + 1.0);
+            let sent = (first.at + BATCH_GATHER_MS).min(plenty).max(one);
+            sent.min(first.at + BATCH_WAIT_MS + 1)
+        });
+        let hedges = self.batches.values().filter(|b| b.copies == 1);
+        let hedge = hedges.map(|b| b.sent_at + BATCH_HEDGE_MS + 1).min();
+        [gathered, hedge].into_iter().flatten().min()
+    }
+
+    /// Sends a copy of a batch, if that leaves `keep` writes.
+    fn send_batch(&mut self, id: u64, keep: f64) {
+        let now = self.now.mono;
+        let Some(b) = self.batches.get_mut(&id) else { return };
+        if !self.writes.take(b.values.len() as f64, keep, now) {
+            return;
+        }
+        let mut commit = Commit::default();
+        for p in &b.jobs {
+            commit.conditions.push(If { key: end_key(&p.spec.uid), stamp: 0 });
+        }
+        let mut first = 0;
+        for (i, value) in b.values.iter().enumerate() {
+            let key = value.key(&format!("{:016x}-{id}-{}-{i}", self.incarnation, b.copies));
+            let rec = BatchRec { at: self.now.wall, first, jobs: value.jobs.clone() };
+            commit.conditions.push(If { key: key.clone(), stamp: 0 });
+            commit.writes.push(Write::put(key, &rec));
+            first += value.jobs.len() as u64;
+        }
+        b.copies += 1;
+        b.out += 1;
+        self.metrics.work.state_writes += b.values.len() as u64;
+        let body = serde_json::to_vec(&commit).unwrap_or_default();
+        self.state_call("POST", COMMIT_PATH.into(), body, STATE_CALL_MS, Purpose::Submit(id));
+    }
+
+    /// A peer may be able to take a submission that we can't.
+    fn pass_submission(&mut self, p: Pending) {
+        let body = serde_json::to_vec(&*p.spec).unwrap_or_default();
+        for asker in p.askers {
+            self.relay_or_refuse(asker, "POST", "/v1/jobs".into(), body.clone());
+        }
+    }
+
+    pub(super) fn submitted(&mut self, id: u64, reply: Option<(u16, Vec<u8>)>) {
+        // Another copy may have been answered already.
+        let Some(b) = self.batches.get_mut(&id) else { return };
+        b.out -= 1;
+        let decided = matches!(reply, Some((200 | 409, _)));
+        if !decided && b.out > 0 {
+            return;
+        }
+        let Some(batch) = self.batches.remove(&id) else { return };
+        match reply {
+            // Not put into the replica ahead of the watch: of a job that stands in two batches
+            // the earlier counts, and the watch tells them in their order.
+            Some((200, body)) => {
+                if let Ok(done) = serde_json::from_slice::<Committed>(&body) {
+                    self.sync.max_rev = self.sync.max_rev.max(done.ledger_rev);
+                }
+                for p in batch.jobs {
+                    self.metrics.work.accepted += 1;
+                    let _ = self.metrics.submit_ms.record(self.now.mono - p.at);
+                    log::debug!(
+                        "{}: accepted in {} ms, {} tasks of {} for {}, {} of {} GB, due after {:?} s",
+                        p.spec.uid,
+                        self.now.mono - p.at,
+                        p.spec.tasks,
+                        p.spec.class,
+                        p.spec.team,
+                        p.spec.image,
+                        p.spec.size_gb,
+                        p.spec.deadline_s
+                    );
+                    for asker in p.askers {
+                        let accepted = Accepted { uid: &p.spec.uid, status: Status::Queued };
+                        self.answer_json(asker, 201, &accepted);
+                    }
+                }
+            }
+            // One of them has ended in the meantime: that one is answered as it is, the others
+            // gather again.
+            Some((409, body)) => {
+                let failed =
+                    serde_json::from_slice::<Conflict>(&body).map(|c| c.failed).unwrap_or_default();
+                for p in batch.jobs {
+                    if failed.contains(&end_key(&p.spec.uid)) {
+                        for asker in p.askers {
+                            let uid = p.spec.uid.clone();
+                            let spec = None;
+                            self.want_fresh(Waiter::Submit { asker, uid, verdict: None, spec });
+                        }
+                    } else {
+                        self.gathering.push(p);
+                    }
+                }
+            }
+            Some((429, _)) => {
+                for p in batch.jobs {
+                    for asker in p.askers {
+                        self.refuse(asker, 503, "too many submissions", Some(RETRY_AFTER_S));
+                    }
+                }
+            }
+            _ => {
+                for p in batch.jobs {
+                    self.pass_submission(p);
+                }
+            }
+        }
+    }
+
+    /// A submission after a fresh read: known, or judged.
+    pub(super) fn submit_known(
+        &mut self,
+        asker: Asker,
+        uid: String,
+        verdict: Option<(u16, String)>,
+        spec: Option<Rc<JobSpec>>,
+    ) {
+        if self.replica.jobs.contains_key(uid.as_str()) {
+            return self.answer_known(asker, &uid);
+        }
+        match (verdict, spec) {
+            (Some((status, reason)), _) => {
+                let retry = (status == 503).then_some(RETRY_AFTER_S);
+                self.refuse(asker, status, &reason, retry)
+            }
+            (None, Some(spec)) => self.commit_job(asker, spec),
+            (None, None) => self.unavailable(asker),
+        }
+    }
+}
