A gang that does not fit beside other changes gets a commit of its own

It waited for a commit with room for all its placements while ends and urgent groups took that room each time, and held up all passes meanwhile. Now the next commit waits for enough writes and is for the gang; one that no commit can hold is taken back. What a gang may have is bounded by what a leader may write at once, too.

--- a/src/coordination/commit_places.rs
+++ b/src/coordination/commit_places.rs
@@ -5,7 +5,7 @@
 //! one commit together or wait together. A group that is larger than a value may be by now, because
 //! it was written under higher limits, is divided by one commit.
 
-use super::commits::{Entry, Move, Packer};
+use super::commits::{Entry, Focus, Move, Packer};
 use super::leader::PendingCommit;
 use crate::constants::{
     CLEAN_GROUPS, COMMIT_BYTES, COMMIT_FRAME_BYTES, DONE_CHUNK_TASKS, GROUP_FRAME_BYTES,
@@ -111,20 +111,21 @@
         p: &mut Packer,
         f: &mut PendingCommit,
         batch: bool,
-        dividing: bool,
+        focus: Focus,
     ) {
         let mut leaving = self.leaving_by_group(f);
         let mut fill = self.group_fill(p, &leaving);
-        if dividing {
+        if focus == Focus::DivideGroup {
             self.divide_one_group(&mut fill, &leaving, f);
         }
         for (n, g) in &self.groups {
-            if g.urgent && !fill.oversized(*n) && fill.chosen.len() < fill.most {
+            let first = g.urgent && focus != Focus::StoreGang;
+            if first && !fill.oversized(*n) && fill.chosen.len() < fill.most {
                 fill.chosen.insert(*n);
             }
         }
         let conditions_left = p.max_ifs.saturating_sub(p.ifs.len() + fill.most);
-        let mut adds = self.choose_starts(&mut fill, conditions_left);
+        let mut adds = self.choose_starts(&mut fill, conditions_left, focus);
         if batch {
             choose_groups_to_clean(&mut fill, &leaving);
         }
@@ -219,8 +220,15 @@
         f.moves = moves;
     }
 
-    /// What is proposed and fits, the rest stays proposed.
-    fn choose_starts(&mut self, fill: &mut GroupFill, conditions_left: usize) -> Vec<Entry> {
+    /// What is proposed and fits, the rest stays proposed. A gang that waits has the next commit to itself;
+    /// if it does not fit there either, it is taken back.
+    fn choose_starts(
+        &mut self,
+        fill: &mut GroupFill,
+        conditions_left: usize,
+        focus: Focus,
+    ) -> Vec<Entry> {
+        self.gang_waits = false;
         let mut adds: Vec<Entry> = Vec::new();
         let mut jobs: BTreeSet<Name> = BTreeSet::new();
         let mut wait: VecDeque<(Name, TaskId)> = VecDeque::new();
@@ -254,6 +262,12 @@
                 .map(|entry| with.add(entry.bytes).map(|group| Entry { group, ..entry }))
                 .collect();
             let Some(placed) = placed.filter(|_| !new_job || jobs.len() < conditions_left) else {
+                if unit.uid.is_some() && focus == Focus::StoreGang && adds.is_empty() {
+                    log::error!("{uid}: one commit can't hold all tasks of the gang");
+                    unit.placements.iter().for_each(|(machine, id)| self.retract(machine, id));
+                    continue;
+                }
+                self.gang_waits |= unit.uid.is_some();
                 wait.extend(unit.placements);
                 continue;
             };
--- a/src/coordination/commit_places/tests.rs
+++ b/src/coordination/commit_places/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::protocol::users::JobKind;
+use crate::storage::cluster::Group;
 use crate::storage::records::gang_batch_key;
 use crate::storage::records::tests::batch_of;
 use crate::storage::replica::Replica;
@@ -41,7 +42,7 @@
 fn a_gang_is_stored_by_one_commit_that_may_write_several_groups() {
     let mut cluster = proposed(50);
     let (mut p, mut f) = (packer(8), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, false, false);
+    cluster.pack_places(&mut p, &mut f, false, Focus::Everything);
     assert_eq!(f.adds.len(), 50);
     assert!(p.writes.len() > 1);
     assert_eq!(p.ifs.get("mg/2/end/job-1"), Some(&0), "it depends on the job not having ended");
@@ -52,9 +53,32 @@
 fn a_gang_that_does_not_fit_waits_whole() {
     let mut cluster = proposed(50);
     let (mut p, mut f) = (packer(1), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, false, false);
+    cluster.pack_places(&mut p, &mut f, false, Focus::Everything);
     assert!(f.adds.is_empty() && p.writes.is_empty(), "{} are stored", f.adds.len());
     assert_eq!(cluster.proposals.len(), 50);
+    assert!(cluster.gang_waits, "the next commit is for it");
+}
+
+#[test]
+fn a_gang_that_no_commit_can_hold_is_taken_back_and_blocks_nothing() {
+    let mut cluster = proposed(50);
+    let (mut p, mut f) = (packer(1), PendingCommit::default());
+    cluster.pack_places(&mut p, &mut f, false, Focus::StoreGang);
+    assert!(cluster.proposals.is_empty() && !cluster.gang_waits);
+    assert_eq!(cluster.jobs["job-1"].waiting(), 50);
+}
+
+#[test]
+fn a_commit_for_a_gang_leaves_urgent_groups_to_the_next() {
+    let mut cluster = proposed(20);
+    let bytes = VALUE_BYTES - GROUP_FRAME_BYTES;
+    cluster.groups.insert(0, Group { bytes, urgent: true, ..Group::default() });
+    let (mut p, mut f) = (packer(1), PendingCommit::default());
+    cluster.pack_places(&mut p, &mut f, false, Focus::Everything);
+    assert!(f.adds.is_empty() && cluster.gang_waits);
+    let (mut p, mut f) = (packer(1), PendingCommit::default());
+    cluster.pack_places(&mut p, &mut f, false, Focus::StoreGang);
+    assert_eq!(f.adds.len(), 20);
 }
 
 #[test]
@@ -62,7 +86,7 @@
     let mut cluster = proposed(6);
     cluster.machines.get_mut("n-000002").expect("a machine").life = Life::Gone;
     let (mut p, mut f) = (packer(8), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, false, false);
+    cluster.pack_places(&mut p, &mut f, false, Focus::Everything);
     assert!(f.adds.is_empty() && p.writes.is_empty());
     assert_eq!(cluster.jobs["job-1"].waiting(), 6);
     assert!(cluster.machines.values().all(|m| m.placements.is_empty()));
@@ -81,10 +105,10 @@
     }
     assert!(cluster.has_oversized_group(VALUE_BYTES));
     let (mut p, mut f) = (packer(2), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, true, true);
+    cluster.pack_places(&mut p, &mut f, true, Focus::DivideGroup);
     assert!(p.writes.is_empty(), "not unless all parts find room");
     let (mut p, mut f) = (packer(8), PendingCommit::default());
-    cluster.pack_places(&mut p, &mut f, true, true);
+    cluster.pack_places(&mut p, &mut f, true, Focus::DivideGroup);
     let stored: usize = p.writes.iter().map(stored_placements).sum();
     assert_eq!(stored, 60, "every placement stands in one of the values");
     cluster.moved(std::mem::take(&mut f.moves));
--- a/src/coordination/commits.rs
+++ b/src/coordination/commits.rs
@@ -47,6 +47,17 @@
     pub entry: Entry,
 }
 
+/// What a commit is for, ahead of everything else.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Focus {
+    /// Nothing in particular.
+    Everything,
+    /// Dividing a group that is too large.
+    DivideGroup,
+    /// Storing a gang that did not fit beside other changes.
+    StoreGang,
+}
+
 /// A commit being packed.
 pub(super) struct Packer {
     /// Conditions: key and stamp.
@@ -107,27 +118,32 @@
             || !l.cluster.complete.is_empty()
             || l.cluster.groups.values().any(|g| g.urgent);
         let oversized = l.cluster.has_oversized_group(self.limits.value_bytes);
-        let dividing = oversized && !l.divided_last;
+        // Every second commit divides until no group is too large. Such a commit, and one for a gang that
+        // did not fit beside other changes, holds nothing else that can wait, and waits itself for
+        // as many writes as a transaction may have.
+        let focus = match (oversized && !l.divided_last, l.cluster.gang_waits) {
+            (true, _) => Focus::DivideGroup,
+            (false, true) => Focus::StoreGang,
+            (false, false) => Focus::Everything,
+        };
         if (urgent || batch) && self.served() {
             let left = (self.writes.left(now) - WRITE_RESERVE).max(0.0) as usize;
             let most = self.limits.transaction_ops;
-            // To divide a group takes as many writes as it will have parts: every second commit waits
-            // for them, and holds little else, until no group is too large.
             let burst = (self.writes.burst() - WRITE_RESERVE).max(1.0) as usize;
-            let least = if dividing { most.min(burst) } else { 1 };
+            let least = if focus == Focus::Everything { 1 } else { most.min(burst) };
             if left >= least {
-                self.build_commit(batch, dividing, left.min(most));
+                self.build_commit(batch, focus, left.min(most));
                 self.send_commit();
             }
         }
     }
 
     /// Packs what is to be written into one commit, the most urgent first.
-    fn build_commit(&mut self, batch: bool, dividing: bool, max_ops: usize) {
+    fn build_commit(&mut self, batch: bool, focus: Focus, max_ops: usize) {
         let now = self.now.mono;
         let cap = self.limits.value_bytes;
         let Some(l) = self.leader.as_mut() else { return };
-        l.divided_last = dividing;
+        l.divided_last = focus == Focus::DivideGroup;
         let mut p = Packer {
             ifs: BTreeMap::from([(leader_key(), l.stamp)]),
             writes: Vec::new(),
@@ -139,10 +155,10 @@
         let mut f = PendingCommit::default();
         let starting = !l.cluster.proposals.is_empty();
         // Ends of jobs: users wait for them, but starts go along.
-        let ends = match (dividing, starting) {
-            (true, _) => 0,
-            (false, true) => max_ops.div_ceil(2),
-            (false, false) => max_ops,
+        let ends = match (focus, starting) {
+            (Focus::Everything, true) => max_ops.div_ceil(2),
+            (Focus::Everything, false) => max_ops,
+            _ => 0,
         };
         for uid in &l.cluster.complete {
             let Some(job) = l.cluster.jobs.get(uid) else { continue };
@@ -157,12 +173,12 @@
             }
             f.finishes.push(uid.clone());
         }
-        if batch && !dividing {
+        if batch && focus == Focus::Everything {
             l.done_at = now + DONE_BATCH_MS;
             l.cluster.pack_done(&mut p, &mut f, usize::from(starting));
         }
-        l.cluster.pack_places(&mut p, &mut f, batch, dividing);
-        if batch && !dividing {
+        l.cluster.pack_places(&mut p, &mut f, batch, focus);
+        if batch && focus == Focus::Everything {
             // Hints and tidying up only with writes to spare.
             let plenty = self.writes.left(now) >= self.writes.burst() * WRITES_SHORT_SHARE;
             if plenty {
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -116,14 +116,13 @@
 
     /// Sets this controller's part of what the state service allows all of them.
     pub(super) fn set_state_rates(&mut self) {
-        let controllers = self.cfg.controllers() as f64;
-        let follower_share = (1.0 - WRITE_SHARE_LEADER) / controllers;
+        let controllers = self.cfg.controllers();
         let share = match self.leader.is_some() {
-            true => WRITE_SHARE_LEADER + follower_share,
-            false => follower_share,
+            true => leader_write_share(controllers),
+            false => follower_write_share(controllers),
         };
         self.writes.set_rate(self.limits.writes_per_s * share, self.now.mono);
-        let reads = self.limits.requests_per_s * STATE_RPS_SHARE / controllers;
+        let reads = self.limits.requests_per_s * STATE_RPS_SHARE / controllers as f64;
         self.reads.set_rate(reads, self.now.mono);
     }
 
@@ -188,3 +187,13 @@
         self.step_down(why);
     }
 }
+
+/// A follower's part of the writes that the state service allows: for users' requests.
+pub(super) fn follower_write_share(controllers: usize) -> f64 {
+    (1.0 - WRITE_SHARE_LEADER) / controllers as f64
+}
+
+/// The leader's part of the writes.
+pub(super) fn leader_write_share(controllers: usize) -> f64 {
+    WRITE_SHARE_LEADER + follower_write_share(controllers)
+}
--- a/src/coordination/gangs.rs
+++ b/src/coordination/gangs.rs
@@ -1,9 +1,10 @@
 //! Gangs as the leader sees them: attempts that can't become complete, and stops that take all tasks.
 
+use super::election::leader_write_share;
 use super::{Controller, Leader};
 use crate::constants::{
-    ATTEMPT_BITS, GANG_SCAN_MS, MS_PER_S, PLACEMENT_BYTES_MOST, SILENT_PERIODS, WORKER_RETRY_S,
-    WORKER_WAIT_S,
+    ATTEMPT_BITS, COMMIT_BYTES, COMMIT_FRAME_BYTES, GANG_SCAN_MS, GROUP_FRAME_BYTES, MS_PER_S,
+    PLACEMENT_BYTES_MOST, SILENT_PERIODS, WORKER_RETRY_S, WORKER_WAIT_S, WRITE_RESERVE,
 };
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::Cause;
@@ -13,11 +14,12 @@
 use crate::storage::records::Name;
 use std::collections::BTreeSet;
 
-/// Most tasks of a gang: the placements of an attempt go into one commit.
-pub(super) fn gang_tasks_max(limits: &StoreLimits) -> usize {
-    use crate::constants::{COMMIT_BYTES, COMMIT_FRAME_BYTES, GROUP_FRAME_BYTES};
+/// Most tasks of a gang: the placements of an attempt go into one commit, which can have no more
+/// changes than a leader may make at once.
+pub(super) fn gang_tasks_max(limits: &StoreLimits, controllers: usize) -> usize {
     let by_bytes = (COMMIT_BYTES - COMMIT_FRAME_BYTES) / limits.value_bytes;
-    let groups = limits.transaction_ops.min(by_bytes.max(1));
+    let burst = limits.lowest_writes_per_s() * leader_write_share(controllers) - WRITE_RESERVE;
+    let groups = limits.transaction_ops.min(by_bytes).min(burst as usize).max(1);
     groups * ((limits.value_bytes - GROUP_FRAME_BYTES) / PLACEMENT_BYTES_MOST)
 }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -29,7 +29,6 @@
 
 use crate::constants::{
     BATCH_USER_MAX, POLL_MAX_MS, POLL_SOON_MS, RETRY_AFTER_BUSY_S, STATE_RPS_SHARE,
-    WRITE_SHARE_LEADER,
 };
 use crate::protocol::cloud::Catalog;
 use crate::protocol::state::Commit;
@@ -206,7 +205,7 @@
         let n = cfg.controllers() as f64;
         let limits = StoreLimits::new(&cfg.params.state);
         let peers = cfg.peers.iter().map(|_| peers::PeerView::default()).collect();
-        let share = (1.0 - WRITE_SHARE_LEADER) / n;
+        let share = election::follower_write_share(cfg.controllers());
         Controller {
             incarnation: rng.random(),
             reads: Bucket::new(limits.requests_per_s * STATE_RPS_SHARE / n, clock.mono),
--- a/src/coordination/submissions.rs
+++ b/src/coordination/submissions.rs
@@ -126,7 +126,7 @@
 
     /// What only a gang can fail at: all of its tasks have to be placed at once.
     fn judge_gang(&self, spec: &JobSpec, catalog: &Catalog) -> Result<(), (u16, String)> {
-        let most = gang_tasks_max(&self.limits);
+        let most = gang_tasks_max(&self.limits, self.cfg.controllers());
         if spec.tasks as usize > most {
             return Err((422, format!("a gang can have {most} tasks here at the most")));
         }
--- a/src/coordination/wait_reason.rs
+++ b/src/coordination/wait_reason.rs
@@ -91,7 +91,7 @@
         match leader.cluster.gang_phase(job) {
             GangPhase::Running => None,
             GangPhase::Unplaced => {
-                let most = gang_tasks_max(&self.limits);
+                let most = gang_tasks_max(&self.limits, self.cfg.controllers());
                 (job.tasks as usize > most).then_some(WaitReason::TooLargeToStore { most })
             }
             GangPhase::Storing => Some(WaitReason::Storing),
--- a/src/storage/cluster.rs
+++ b/src/storage/cluster.rs
@@ -63,6 +63,8 @@
     pub done_groups: BTreeMap<u32, DoneGroup>,
     /// Placements that wait to be stored, in the order decided.
     pub proposals: VecDeque<(Name, TaskId)>,
+    /// A gang among the proposals did not fit into the last commit beside other changes.
+    pub gang_waits: bool,
     /// Placements that ended without being in any group.
     pub loose: Vec<(Name, TaskId)>,
     /// Live jobs whose tasks are all done.
--- a/src/storage/limits.rs
+++ b/src/storage/limits.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Puts and deletes a second that are allowed now and later.
+    pub fn lowest_writes_per_s(&self) -> f64 {
+        self.lowest_writes_per_s
+    }
+
     /// The service has refused a request as one too many. Tells whether lower rates are in force
     /// from now on.
     pub fn lower_rates(&mut self) -> bool {
