--- a/src/constants.rs
+++ b/src/constants.rs
@@ -44,7 +44,7 @@
 pub const OUTBOUND_QUEUE: usize = 512;
 /// Pending connections the kernel may hold for a listener: after a change of leader all workers
 /// come over at once, thousands of them; the kernel bounds it further.
-pub const LISTEN_BACKLOG: i32 = 4_096;
+pub const LISTEN_BACKLOG: i32 = 16_384;
 /// Milliseconds between sweeps for idle and overdue connections.
 pub const SWEEP_MS: u64 = 250;
 /// Milliseconds between two lines in the log of what was done: as often as the leader's line on how
