Gangs: what a stop keeps is known, and an attempt that was never stored does not count

A gang keeps its progress only if all of it can be told within gang_peer_s, by the report period; the planner and reclaims count with that. A commit that was not applied made the next attempt wait as after a failure. The first pause is 2 s, as the design says, not 4.

--- a/src/coordination/commits.rs
+++ b/src/coordination/commits.rs
@@ -21,7 +21,7 @@
     catalog_key, chunk_name, done_key, end_key, images_key, leader_key, place_key, shares_key,
     DoneRec, EndRec, ImagesRec, Name, ShareRec, Stage,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A placement that a commit stores or takes out.
 #[derive(Debug, Clone)]
@@ -366,6 +366,13 @@
                 false => l.cluster.retract(&e.machine, &e.id),
             }
         }
+        let gangs: BTreeSet<&Name> = f.adds.iter().map(|e| &e.id.0).collect();
+        for uid in gangs {
+            let gang = l.cluster.jobs.get_mut(uid).and_then(|job| job.gang.as_mut());
+            if let Some(gang) = gang {
+                gang.forget_attempt();
+            }
+        }
         // Stamps of keys that changed under us are taken from the replica. Only our own
         // earlier commits and users' requests write, so nothing is lost by that.
         for n in f.groups {
--- a/src/coordination/gangs.rs
+++ b/src/coordination/gangs.rs
@@ -4,7 +4,8 @@
 use super::{Controller, Leader};
 use crate::constants::{
     ATTEMPT_BITS, COMMIT_BYTES, COMMIT_FRAME_BYTES, GANG_SCAN_MS, GROUP_FRAME_BYTES, MS_PER_S,
-    PLACEMENT_BYTES_MOST, SILENT_PERIODS, WORKER_RETRY_S, WORKER_WAIT_S, WRITE_RESERVE,
+    PLACEMENT_BYTES_MOST, REPORT_JITTER, SILENT_PERIODS, WORKER_RETRY_S, WORKER_WAIT_S,
+    WRITE_RESERVE,
 };
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::Cause;
@@ -29,6 +30,14 @@
     !spec.spread || spec.tasks == 1 || (!spec.one_zone && zones > 1)
 }
 
+/// Whether a task that is told to stop keeps its progress. Those of a gang do if all of them can be told
+/// in time, each in the answer to its next report.
+pub(super) fn saves_when_stopped(spec: &JobSpec, workers: &Workers) -> bool {
+    let told_within_s = workers.report_s * (1.0 + REPORT_JITTER);
+    let in_time = workers.gang_peer_s <= 0.0 || told_within_s <= workers.gang_peer_s;
+    spec.saves() && (!spec.is_gang() || in_time)
+}
+
 /// A task that is stored and was never ordered by this leader: it is on no machine.
 fn never_ordered(placement: &Placement, term: u64) -> bool {
     placement.attempt >> ATTEMPT_BITS == term
@@ -66,7 +75,7 @@
     }
 
     /// Stops the attempts of gangs that can't become complete: a task is to start on a machine that
-    /// has fallen silent, or was not started before others ran.
+    /// has fallen silent, and no task of the gang was seen running.
     fn stop_hopeless_gangs(&mut self, workers: &Workers, now: u64) {
         let silent = silent_ms(workers);
         let lost = |m: &Machine| {
@@ -109,3 +118,6 @@
         l.stop_hopeless_gangs(&self.cfg.params.workers, now);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/coordination/snapshot.rs
+++ b/src/coordination/snapshot.rs
@@ -1,5 +1,6 @@
 //! The planner's snapshot of the cluster, with the names behind its indices.
 
+use super::gangs::saves_when_stopped;
 use super::planner::{self, JobView, MachineView, Running, Snapshot, TeamView};
 use super::{Clock, Leader};
 use crate::constants::{
@@ -144,7 +145,7 @@
                         bandwidth: spec.cores * op.bandwidth(&spec.class),
                         run: l.run_ms(spec),
                         service: spec.kind == JobKind::Service,
-                        saves: spec.saves(),
+                        saves: saves_when_stopped(spec, &cfg.params.workers),
                         stops: if spec.is_gang() { spec.tasks } else { 1 },
                         image: image_of(&spec.image),
                         size_gb: spec.size_gb,
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -4,6 +4,7 @@
 //! session and sequence. A start that a newer report doesn't show was not executed, since a
 //! worker has one report in flight and drops late answers, so it is sent again.
 
+use super::gangs::saves_when_stopped;
 use super::leader::is_failure;
 use super::report_evidence::{note_machine, shown, Evidence, Hearing, ReportId};
 use super::{Asker, ConnId, Controller, Leader};
@@ -401,7 +402,7 @@
             }
             let stop = if spec.kind == JobKind::Service || p.running_since.is_none() {
                 true
-            } else if spec.saves() {
+            } else if saves_when_stopped(spec, &cfg.params.workers) {
                 let needs = ((spec.checkpoint_cost_s + RECLAIM_MARGIN_S) * MS_PER_S) as u64;
                 left <= needs + report * 2
             } else {
--- a/src/storage/gangs.rs
+++ b/src/storage/gangs.rs
@@ -23,7 +23,7 @@
     pub retry_at: u64,
 }
 
-/// What a gang that does not run waits for.
+/// Where a gang stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GangPhase {
     /// Room for all its tasks at once, or its team's limit.
@@ -64,13 +64,19 @@
     pub fn note_attempt(&mut self, now: u64) {
         self.running = false;
         self.attempts = self.attempts.saturating_add(1);
-        let doubled = GANG_RETRY_MS.saturating_mul(1 << self.attempts.min(16));
+        let doubled = GANG_RETRY_MS.saturating_mul(1 << (self.attempts - 1).min(16));
         self.retry_at = match self.attempts {
             1 => now,
             _ => now + doubled.min(GANG_RETRY_MAX_MS),
         };
     }
 
+    /// Notes that an attempt was never stored: it does not count.
+    pub fn forget_attempt(&mut self) {
+        self.attempts = self.attempts.saturating_sub(1);
+        self.retry_at = 0;
+    }
+
     /// Notes that a task of the present attempt was seen running.
     pub fn note_running(&mut self) {
         self.running = true;
