--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -370,6 +370,28 @@
     assert!(first.saved, "all of it was told in time");
 }
 
+#[test]
+fn a_gang_that_makes_room_for_a_service_saves_as_a_whole_and_goes_on_later() {
+    let mut w = led(13);
+    w.cloud.capacity = 2;
+    let mut wide = gang(&w, 1, 8);
+    wide["crew"] = json!("blue");
+    wide["run_guess_s"] = json!(90.0);
+    w.submit(wide, 90_000, 0);
+    until_runs(&mut w, "job-000001");
+    w.run(35_300);
+    let service = w.spec(2, "standing", 2);
+    w.submit(service, u64::MAX, 1);
+    w.until(30_000, "the service runs", |w| w.running_of("job-000002") == 2);
+    let first = w.jobs["job-000001"].attempts.values().next().expect("it ran");
+    assert!(first.saved, "all of it was told in time");
+    w.run(10_000);
+    assert_eq!(w.running_of("job-000001"), 0, "there is no room for all of it");
+    w.withdraw("job-000002", 0);
+    w.until_done("job-000001", 120_000);
+    assert!(w.jobs["job-000001"].saved_ms >= 30_000);
+}
+
 #[test]
 fn a_gang_in_one_zone_stays_in_one_until_the_last_of_it_is_gone() {
     for seed in 0..4 {
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -253,12 +253,19 @@
 
 fn scenario(seed: u64, mix: Mix) -> (u32, usize) {
     let mut w = World::new(seed);
+    if mix == Mix::WithGangs {
+        w.next_limits = json!({"value_kb": 2.0, "txn_ops": 4, "write_rps": 30.0});
+    }
     w.run(3_000);
     let end = w.now + TROUBLED_MS;
     let mut n = 0;
     while w.now < end {
         let pause = w.rng.random_range(100..1_500);
         w.run(pause);
+        if mix == Mix::WithGangs && w.now > end - TROUBLED_MS / 2 {
+            // The limits that were announced, without notice.
+            w.state.lowered = Some((2_048, 4));
+        }
         match w.rng.random_range(0..10) {
             0..=2 => trouble(&mut w),
             3 | 4 if n < 25 => {
@@ -321,6 +328,7 @@
         }
     }
     w.run(CANCEL_MS + 1_000);
+    assert_eq!(w.state.too_large, 0, "seed {seed}: announced limits are kept");
     w.assert_all_kinds_are_served(&format!("seed {seed}"));
     (
         w.jobs.values().map(|j| j.starts).sum(),
