Review: the stand-ins keep off each other's ports, and start again when one was taken

Cause: one run of case 1 beside ten others could not run (exit 2), since a controller found its port taken. Change: ports are chosen once in a run, and all controllers are started anew on others if one ends at its start.

--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -17,10 +17,16 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
 
+CHOSEN_PORTS = set()
+
+
 def free_port():
     """A port that is free now, below the range from which outgoing connections take theirs."""
     while True:
-        port = random.randrange(10000, 32000)
+        port = random.SystemRandom().randrange(10000, 32000)
+        if port in CHOSEN_PORTS:
+            continue
+        CHOSEN_PORTS.add(port)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
@@ -686,11 +692,28 @@
 
     async def start(self, controllers=None):
         for node in range(len(self.labels)):
-            await serve(self.state_ports[node], lambda m, p, b, node=node: self.state.handle(node, m, p, b))
-            await serve(self.cloud_ports[node], lambda m, p, b, node=node: self.cloud(node, m, p, b))
+            await self.listen(self.state_ports, node, lambda m, p, b, node=node: self.state.handle(node, m, p, b))
+            await self.listen(self.cloud_ports, node, lambda m, p, b, node=node: self.cloud(node, m, p, b))
         self.background.append(asyncio.ensure_future(self.state.expire()))
-        for node in range(len(self.labels)) if controllers is None else controllers:
-            self.start_controller(node)
+        nodes = list(range(len(self.labels))) if controllers is None else controllers
+        for _ in range(5):
+            for node in nodes:
+                self.start_controller(node)
+            await asyncio.sleep(0.5)
+            if all(self.processes[node].poll() is None for node in nodes):
+                return
+            # A port was taken in the meantime.
+            for node in nodes:
+                self.kill_controller(node)
+            self.public[:] = [free_port() for _ in self.labels]
+            self.peer[:] = [free_port() for _ in self.labels]
+
+    async def listen(self, ports, node, handler):
+        while True:
+            try:
+                return await serve(ports[node], handler)
+            except OSError:
+                ports[node] = free_port()
 
     async def until(self, what, holds, timeout):
         """Waits until `holds()`; False when the time is up."""
