Review, case 2: four jobs with a mistake take two sound machines out of use for good

Cause: the first failure of a job counts against its machine, and two jobs within a minute cordon it. That the jobs then fail elsewhere too is not held in the machine's favour, and nothing lifts the mark while the leader stays and the machine has a service.

--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -348,10 +348,12 @@
                 task.status, task.running_at = "running", now
                 run = self.world.run_times.get(task.load.split("/")[0])
                 task.ends_at = None if task.spec["shape"] == "standing" or run is None else now + run
+                if task.load.split("/")[0] in self.world.mistaken:
+                    task.ends_at = now
                 self.world.task_event("on", self, task)
                 changed = True
             elif task.status == "running" and task.ends_at is not None and now >= task.ends_at:
-                self.end(task, "done")
+                self.end(task, "error" if task.load.split("/")[0] in self.world.mistaken else "done")
                 changed = True
             elif task.status == "flushing" and now >= task.deadline:
                 task.saved = True
@@ -496,6 +498,7 @@
         self.state = State({**self.state_limits, "nodes": controllers})
         self.machines, self.rentals, self.numbers = {}, {}, 0
         self.specs, self.run_times = {}, {}
+        self.mistaken = set()  # jobs that were submitted with a mistake: they fail on every machine
         self.starts, self.events = [], []
         self.on_start_hook = None
         self.background = []
