--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -344,7 +344,11 @@
     def advance(self):
         now, changed = time.monotonic(), False
         for task in self.tasks.values():
-            if task.status == "pulling" and now >= task.ready_at:
+            if task.status == "pulling" and now >= task.ready_at and task.load in self.world.results:
+                # The result is kept: started again, the task exits as soon as it has its image.
+                self.end(task, "done")
+                changed = True
+            elif task.status == "pulling" and now >= task.ready_at:
                 task.status, task.running_at = "running", now
                 run = self.world.run_times.get(task.load.split("/")[0])
                 task.ends_at = None if task.spec["shape"] == "standing" or run is None else now + run
@@ -373,6 +377,8 @@
     def end(self, task, cause):
         was_on = task.status in ("running", "flushing")
         task.status, task.cause = "ended", cause
+        if cause == "done":
+            self.world.results.add(task.load)
         if was_on:
             self.world.task_event("off " + cause, self, task)
 
@@ -498,6 +504,7 @@
         self.state = State({**self.state_limits, "nodes": controllers})
         self.machines, self.rentals, self.numbers = {}, {}, 0
         self.specs, self.run_times = {}, {}
+        self.results = set()  # tasks that have completed
         self.mistaken = set()  # jobs that were submitted with a mistake: they fail on every machine
         self.starts, self.events = [], []
         self.on_start_hook = None
