--- a/review/stage-2/base.rs
+++ b/review/stage-2/base.rs
@@ -721,7 +721,8 @@
     pub record: Arc<Record>,
     pub kind: MachineType,
     pub list_lag_s: f64,
-    pub capacity: usize,
+    /// Most machines that the cloud has.
+    pub capacity: AtomicU64,
     pub worker: WorkerSettings,
     pub machines: Mutex<Vec<Machine>>,
     hires: Mutex<HashMap<String, Vec<String>>>,
@@ -737,6 +738,8 @@
     seed: AtomicU64,
     /// Machines whose reports reach nobody.
     pub cut: Mutex<Vec<String>>,
+    /// Machines that fail every task that they start.
+    pub sick: Mutex<Vec<String>>,
     /// Gangs by job and attempt.
     gangs: Mutex<HashMap<(String, u64), Gang>>,
 }
@@ -755,7 +758,7 @@
             record,
             kind,
             list_lag_s,
-            capacity: 32,
+            capacity: AtomicU64::new(32),
             worker,
             machines: Mutex::new(Vec::new()),
             hires: Mutex::new(HashMap::new()),
@@ -767,6 +770,7 @@
             stopped: AtomicBool::new(false),
             seed: AtomicU64::new(std::process::id() as u64 | 1),
             cut: Mutex::new(Vec::new()),
+            sick: Mutex::default(),
             gangs: Mutex::default(),
         })
     }
@@ -847,8 +851,10 @@
                 }
                 let up = self.machines.lock().unwrap().iter().filter(|m| m.gone_at.is_none()).count();
                 let wanted = request.body.get("number").u64().unwrap_or(0) as usize;
-                let count = wanted.min(self.capacity.saturating_sub(up));
+                let capacity = self.capacity.load(Ordering::SeqCst) as usize;
+                let count = wanted.min(capacity.saturating_sub(up));
                 if count == 0 {
+                    self.record.line(&format!("cloud: {who} wants {wanted} machines by {hire}: no capacity"));
                     return (503, "{\"error\":\"no capacity\"}".into());
                 }
                 let spot = request.body.get("lendables") == &J::Bool(true);
@@ -894,6 +900,8 @@
     /// Number of tasks of its gang; 0 for other jobs.
     gang: usize,
     gang_runs: bool,
+    /// Whether it was started on a machine that fails every task that it starts.
+    fails: bool,
 }
 
 /// The worker of one machine.
@@ -1069,7 +1077,13 @@
                 self.platform.record.line(&format!("{}: {name} runs", self.machine.name));
                 changed = true;
             }
-            if task.run_s.is_some_and(|run_s| now >= task.image_at + run_s) {
+            if task.fails && now >= task.image_at + 0.5 {
+                task.ended = Some("error".into());
+                run.ended_at = Some(now);
+                run.cause = "error".into();
+                self.platform.record.line(&format!("{}: {name} fails", self.machine.name));
+                changed = true;
+            } else if task.run_s.is_some_and(|run_s| now >= task.image_at + run_s) {
                 task.ended = Some("done".into());
                 run.ended_at = Some(now);
                 run.cause = "done".into();
@@ -1080,6 +1094,19 @@
         changed
     }
 
+    /// Whether the machine has what a task takes, besides the tasks that it has; those that fetch their image count.
+    fn has_room_for(&self, spec: &J) -> bool {
+        let kind = &self.platform.kind;
+        let jobs = self.platform.jobs.lock().unwrap();
+        let fits = |field: &str, total: f64| {
+            let present = self.tasks.iter().filter(|(_, task)| task.ended.is_none());
+            let specs = present.filter_map(|((name, _), _)| jobs.get(name.split('/').next().unwrap_or("")));
+            let used: f64 = specs.map(|spec| spec.get(field).f64()).sum();
+            used + spec.get(field).f64() <= total + 1e-9
+        };
+        fits("cores", kind.cores) && fits("gpus", kind.gpus) && fits("ram_gb", kind.ram_gb)
+    }
+
     fn execute(&mut self, order: &J, reported_at: f64, now: f64) -> bool {
         let name = order.get("load").str().to_string();
         let attempt = order.get("try").u64().unwrap_or(0);
@@ -1091,11 +1118,13 @@
                 }
                 let job = name.split('/').next().unwrap_or("").to_string();
                 let spec = self.platform.jobs.lock().unwrap().get(&job).cloned();
+                let has_room = spec.as_ref().is_none_or(|spec| self.has_room_for(spec));
                 let mut runs = self.platform.runs.lock().unwrap();
                 let mut run = Run { task: name.clone(), attempt, machine: self.machine.name.clone(), reported_at, commanded_at: now,
                     started_at: None, ended_at: None, cause: String::new(), token: self.token };
                 let refused = match &spec {
                     None => Some("no_such"),
+                    Some(_) if !has_room => Some("no_room"),
                     Some(_) if self.tasks.iter().any(|((other, _), task)| *other == name && task.ended.is_none()) => Some("busy"),
                     _ => None,
                 };
@@ -1115,7 +1144,7 @@
                 let task = Task { attempt, run: runs.len() - 1, image_at: image_at.max(now),
                     run_s: (!is_service).then_some(run_s), ended: refused.map(str::to_string),
                     gang: if spec.get("shape").str() == "ensemble" { spec.get("loads").u64().unwrap_or(0) as usize } else { 0 },
-                    gang_runs: false };
+                    gang_runs: false, fails: self.platform.sick.lock().unwrap().contains(&self.machine.name) };
                 drop(runs);
                 self.tasks.insert(key, task);
                 true
