Status and log say which machines a job avoids after failures there

A job that waits was shown as 'reserved on M' or 'no room that allows it', which doesn't tell a reservation that is kept, a cordon or a pause from machines that are left out because the job failed there. Its reason now names these machines, and at debug a failed task has a line.

--- a/src/coordination/heartbeats/task_outcomes.rs
+++ b/src/coordination/heartbeats/task_outcomes.rs
@@ -63,6 +63,7 @@
         let Some(job) = self.cluster.jobs.get_mut(&id.job) else { return };
         let Some(machine) = self.cluster.machines.get_mut(machine_name) else { return };
         job.failed_on.insert(machine_name.clone());
+        log::debug!("task failed: {id} on {machine_name}");
         if job.fails_on_several_machines() {
             job.failure_backoff_ms =
                 (job.failure_backoff_ms * 2).clamp(FAILURE_BACKOFF_MS, FAILURE_BACKOFF_MAX_MS);
--- a/src/coordination/wait_reason.rs
+++ b/src/coordination/wait_reason.rs
@@ -14,13 +14,21 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum WaitReason {
     /// A machine is reserved for it but not free yet.
-    Reserved(MachineName),
+    Reserved {
+        /// The machine.
+        machine: MachineName,
+        /// Machines that it avoids because its tasks failed there.
+        avoided: Vec<MachineName>,
+    },
     /// It is in backoff after failures.
     Paused,
     /// Its team is at its resource limit.
     TeamLimit,
     /// No machine that it may use has free resources for it.
-    NoCapacity,
+    NoCapacity {
+        /// Machines that it avoids because its tasks failed there.
+        avoided: Vec<MachineName>,
+    },
     /// Gang: the placements of its tasks do not fit into one transaction.
     TooLargeToStore {
         /// Tasks whose placements one transaction can hold.
@@ -47,10 +55,14 @@
 impl fmt::Display for WaitReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            WaitReason::Reserved(machine) => write!(f, "reserved on {machine}"),
+            WaitReason::Reserved { machine, avoided } => {
+                write!(f, "reserved on {machine}{}", avoided_text(avoided))
+            }
             WaitReason::Paused => write!(f, "failed on several machines, paused"),
             WaitReason::TeamLimit => write!(f, "its team is at its limit"),
-            WaitReason::NoCapacity => write!(f, "no room that allows it"),
+            WaitReason::NoCapacity { avoided } => {
+                write!(f, "no room that allows it{}", avoided_text(avoided))
+            }
             WaitReason::TooLargeToStore { max_tasks } => {
                 write!(f, "too large: the store takes {max_tasks} tasks of a gang at once")
             }
@@ -76,11 +88,12 @@
             return None;
         }
         let reserved = leader.reservation.as_ref().filter(|(job_id, _)| *job_id == job.id);
+        let avoided = avoided_machines(job);
         Some(match reserved {
-            Some((_, machine)) => WaitReason::Reserved(machine.clone()),
+            Some((_, machine)) => WaitReason::Reserved { machine: machine.clone(), avoided },
             None if job.paused_until > self.now.monotonic_ms => WaitReason::Paused,
             None if self.at_team_limit(leader, job) => WaitReason::TeamLimit,
-            None => WaitReason::NoCapacity,
+            None => WaitReason::NoCapacity { avoided },
         })
     }
 
@@ -123,3 +136,21 @@
         !usage.is_within(&limit)
     }
 }
+
+/// Names of the machines that a job avoids.
+fn avoided_machines(job: &Job) -> Vec<MachineName> {
+    if job.fails_on_several_machines() {
+        return Vec::new();
+    }
+    let mut avoided: Vec<MachineName> = job.failed_on.iter().cloned().collect();
+    avoided.sort();
+    avoided
+}
+
+/// The end of a wait reason that names the machines that a job avoids, if there are any.
+fn avoided_text(avoided: &[MachineName]) -> String {
+    match avoided.is_empty() {
+        true => String::new(),
+        false => format!("; avoids {}, where it failed", avoided.join(", ")),
+    }
+}
