A job is tried again where it failed, after a backoff and where no other machine fits

Cause: Job::failed_on excluded each machine on which a task had failed. Only a success of the job or a new leader ended that, and a job without another machine can't succeed.

Change: failures are kept by machine, with times. During a backoff (5 s, doubled up to 60 s, equal jitter) the job isn't sent there; after it the machine gets one task of the job in a pass, and only if no other machine can start it now. A failure is forgotten after 180 s. The pause of a job that fails on several machines has jitter too, and tasks that fail together count once. It works since the exclusion now ends by time, whether or not the job can succeed elsewhere.

--- a/src/constants/gangs.rs
+++ b/src/constants/gangs.rs
@@ -16,6 +16,3 @@
 pub const GANG_RETRY_BACKOFF_MS: u64 = 1_000;
 /// Maximum in milliseconds of the backoff whose base is [`GANG_RETRY_BACKOFF_MS`].
 pub const GANG_RETRY_BACKOFF_MAX_MS: u64 = 30_000;
-/// Maximum number of machines that a gang avoids because it failed there. After failures on more machines
-/// the gang itself is suspected, and it may use every machine again.
-pub const GANG_AVOIDED_MACHINES_MAX: usize = 6;
--- a/src/constants/planning.rs
+++ b/src/constants/planning.rs
@@ -79,10 +79,22 @@
 pub const PREEMPTION_DELAY_MIN_MS: u64 = 1_000;
 /// Weight of the newest sample in the moving averages of run times per class.
 pub const AVERAGE_WEIGHT: f64 = 0.1;
-/// First backoff in milliseconds of a job whose tasks fail on several machines; doubled each time.
+/// Base in milliseconds of the backoff of a job whose tasks fail on several machines.
 pub const FAILURE_BACKOFF_MS: u64 = 2_000;
-/// Maximum in milliseconds of the backoff that starts at [`FAILURE_BACKOFF_MS`].
+/// Maximum in milliseconds of the backoff whose base is [`FAILURE_BACKOFF_MS`]. No job may wait for 90 s
+/// beside a machine that works again.
 pub const FAILURE_BACKOFF_MAX_MS: u64 = 60_000;
+/// Base in milliseconds of the backoff during which a job is not sent to a machine that failed a task of it.
+pub const MACHINE_RETRY_BACKOFF_MS: u64 = 5_000;
+/// Maximum in milliseconds of the backoff whose base is [`MACHINE_RETRY_BACKOFF_MS`]; see
+/// [`FAILURE_BACKOFF_MAX_MS`].
+pub const MACHINE_RETRY_BACKOFF_MAX_MS: u64 = 60_000;
+/// Milliseconds for which a failure counts against a job and, for that job, against the machine; longer than
+/// the longest backoff, so that a job which fails again after it is not taken for one that fails first.
+pub const FAILURE_MEMORY_MS: u64 = 180_000;
+/// Maximum number of machines that a job avoids because it failed there. After failures on more machines
+/// the job itself is suspected, and it may use every machine again.
+pub const AVOIDED_MACHINES_MAX: usize = 6;
 /// Number of machines on which a job has to fail, with no success since, to count as failing
 /// on several machines.
 pub const FAILING_JOB_MACHINES: usize = 2;
--- a/src/coordination/heartbeats/processing.rs
+++ b/src/coordination/heartbeats/processing.rs
@@ -87,7 +87,7 @@
             }
         }
         for ended in evidence.ended {
-            leader.record_task_end(name, &ended.id, ended.cause, now);
+            leader.record_task_end(name, &ended.id, ended.cause, now, &mut self.rng);
             leader.cluster.settle(name, &ended.id, ended.cause);
             leader.request_planning_pass(now);
         }
--- a/src/coordination/heartbeats/task_outcomes.rs
+++ b/src/coordination/heartbeats/task_outcomes.rs
@@ -1,12 +1,11 @@
 //! Conclusions from how tasks ended: run times, faulty machines, and jobs that fail on any machine.
 
-use crate::constants::{
-    CORDON_FAILURES, CORDON_WINDOW_MS, FAILURE_BACKOFF_MAX_MS, FAILURE_BACKOFF_MS,
-};
+use crate::constants::{CORDON_FAILURES, CORDON_WINDOW_MS};
 use crate::coordination::Leader;
 use crate::protocol::workers::EndCause;
 use crate::storage::machine::{Machine, TaskId};
 use crate::storage::records::{JobId, MachineName};
+use rand::rngs::SmallRng;
 use std::collections::BTreeSet;
 
 impl Leader {
@@ -17,10 +16,11 @@
         id: &TaskId,
         cause: EndCause,
         now: u64,
+        rng: &mut SmallRng,
     ) {
         match cause {
             EndCause::Done => self.record_task_success(machine, id, now),
-            EndCause::Error => self.record_task_failure(machine, id, now),
+            EndCause::Error => self.record_task_failure(machine, id, now, rng),
             _ => {}
         }
     }
@@ -30,7 +30,8 @@
         let Some(machine) = self.cluster.machines.get_mut(machine_name) else { return };
         let running_since = machine.placements.get(id).and_then(|p| p.running_since);
         // The job succeeds here, so its earlier failures are the fault of the machines that it failed on.
-        let failed_on: Vec<MachineName> = job.failed_on.drain().collect();
+        let failed_on: Vec<MachineName> = job.failures.machines().cloned().collect();
+        job.failures.clear();
         let spec = job.spec.clone();
         machine.failures.clear();
         for other in failed_on {
@@ -59,20 +60,21 @@
         }
     }
 
-    fn record_task_failure(&mut self, machine_name: &MachineName, id: &TaskId, now: u64) {
+    fn record_task_failure(
+        &mut self,
+        machine_name: &MachineName,
+        id: &TaskId,
+        now: u64,
+        rng: &mut SmallRng,
+    ) {
         let Some(job) = self.cluster.jobs.get_mut(&id.job) else { return };
         let Some(machine) = self.cluster.machines.get_mut(machine_name) else { return };
-        job.failed_on.insert(machine_name.clone());
         log::debug!("task failed: {id} on {machine_name}");
-        if job.fails_on_several_machines() {
-            job.failure_backoff_ms =
-                (job.failure_backoff_ms * 2).clamp(FAILURE_BACKOFF_MS, FAILURE_BACKOFF_MAX_MS);
-            job.paused_until = now + job.failure_backoff_ms;
-            let pause_ms = job.failure_backoff_ms;
-            return log::debug!(
-                "job paused: {} failed on several machines, paused for {pause_ms} ms",
-                id.job
-            );
+        if let Some(pause_ms) = job.failures.record(machine_name, now, rng) {
+            log::debug!("job paused: {} failed on several machines, {pause_ms} ms", id.job);
+        }
+        if job.failures.are_on_several_machines(now) {
+            return;
         }
         let jobs = record_machine_failure(machine, &id.job, now);
         let failures = machine.failures.len() as u32;
--- a/src/coordination/planner/allocation.rs
+++ b/src/coordination/planner/allocation.rs
@@ -2,7 +2,7 @@
 
 use super::allocation_cache::AllocationCache;
 use super::pass::Pass;
-use super::snapshot::JobView;
+use super::snapshot::{JobOnMachine, JobView};
 use super::threshold_search::{Candidate, ThresholdSearch};
 use crate::protocol::users::Priority;
 use crate::protocol::Resources;
@@ -46,6 +46,11 @@
 impl Pass<'_> {
     /// Whether the machine may run one more task of the job, apart from its free capacity.
     pub(super) fn is_allowed(&self, job: usize, machine: usize) -> bool {
+        !self.job_view(job).avoided_machines.contains(&machine) && self.is_suitable(job, machine)
+    }
+
+    /// The same, whether or not the job avoids the machine.
+    fn is_suitable(&self, job: usize, machine: usize) -> bool {
         let view = self.job_view(job);
         let machine_view = self.machine_view(machine);
         if machine_view.spot && !view.spot_allowed
@@ -54,9 +59,7 @@
         {
             return false;
         }
-        if view.zone.is_some_and(|zone| zone != machine_view.zone)
-            || view.avoided_machines.contains(&machine)
-        {
+        if view.zone.is_some_and(|zone| zone != machine_view.zone) {
             return false;
         }
         self.is_zone_allowed(job, machine_view.zone) && machine_view.total.fits(&view.need)
@@ -196,6 +199,8 @@
     /// If an allocation can start now with a factor below all thresholds, every threshold yields
     /// it. Later allocations are computed only if there is none: with hundreds of machines, they
     /// are most of the work.
+    ///
+    /// Machines where the job failed are tried again only if it can't start elsewhere now.
     pub(super) fn allocate(&mut self, job: usize, may_wait: bool) -> Option<Allocation> {
         if !self.is_within_limit(job, 1) {
             return None;
@@ -206,7 +211,30 @@
         self.allocation_cache = allocation_cache;
         #[cfg(test)]
         super::reference::assert_same_choice(self, job, may_wait, chosen);
-        chosen
+        match chosen {
+            Some(allocation) if allocation.start_ms <= self.snapshot.now_ms => chosen,
+            _ => self.retry_allocation(job).or(chosen),
+        }
+    }
+
+    /// The best allocation that starts now on a machine where the job failed before. Each such machine gets
+    /// one task in a pass.
+    fn retry_allocation(&self, job: usize) -> Option<Allocation> {
+        let machines = &self.job_view(job).retryable_machines;
+        let untried = machines.iter().filter(|machine| {
+            !self.plan.placements.contains(&JobOnMachine { job, machine: **machine })
+        });
+        let candidates = untried.filter_map(|&machine| {
+            let allocation = self
+                .is_suitable(job, machine)
+                .then(|| self.allocation_at(job, machine, self.snapshot.now_ms))??;
+            Some(Candidate { allocation, preference: self.preference(job, machine) })
+        });
+        let best = candidates.reduce(|best, other| match other.has_lower_penalty_than(&best) {
+            true => other,
+            false => best,
+        });
+        best.map(|candidate| candidate.allocation)
     }
 
     /// Chooses for [`Pass::allocate`] between the allocations on all machines.
--- a/src/coordination/planner/snapshot.rs
+++ b/src/coordination/planner/snapshot.rs
@@ -120,8 +120,10 @@
     pub image: usize,
     /// Size of its image in gigabytes.
     pub image_gb: f64,
-    /// Indices of machines that it must avoid for now because its tasks failed there.
+    /// Indices of machines that it avoids because its tasks failed there.
     pub avoided_machines: Vec<usize>,
+    /// Those of [`Self::avoided_machines`] that get one task of it if no other machine can start it now.
+    pub retryable_machines: Vec<usize>,
 }
 
 impl JobView {
--- a/src/coordination/planner/tests.rs
+++ b/src/coordination/planner/tests.rs
@@ -67,6 +67,7 @@
         image: 0,
         image_gb: 5.0,
         avoided_machines: vec![],
+        retryable_machines: vec![],
     }
 }
 
@@ -97,6 +98,19 @@
     Some(Reservation { job, machine, start_ms })
 }
 
+#[test]
+fn a_machine_where_the_job_failed_gets_one_task_and_only_if_no_other_can_start_it() {
+    let mut view = JobView { waiting_tasks: 3, avoided_machines: vec![0], ..job(1, 1, 60_000) };
+    let machines = || vec![machine(4), machine(1)];
+    assert_eq!(plan(&snapshot(machines(), vec![view.clone()])).placements, vec![placed(0, 1)]);
+    view.retryable_machines = vec![0];
+    let decided = plan(&snapshot(machines(), vec![view.clone()]));
+    assert_eq!(decided.placements, vec![placed(0, 1), placed(0, 0)]);
+    assert_eq!(decided.unplaced, vec![1]);
+    view.waiting_tasks = 1;
+    assert_eq!(plan(&snapshot(machines(), vec![view])).placements, vec![placed(0, 1)]);
+}
+
 #[test]
 fn a_job_that_would_delay_the_reservation_is_not_backfilled() {
     let mut view = machine(4);
--- a/src/coordination/planner_input/jobs.rs
+++ b/src/coordination/planner_input/jobs.rs
@@ -1,14 +1,14 @@
 //! Jobs with waiting tasks, and the teams that they belong to.
 
 use super::InputBuilder;
-use crate::constants::{GANG_AVOIDED_MACHINES_MAX, MS_PER_S};
+use crate::constants::MS_PER_S;
 use crate::coordination::planner::{is_within_guarantee, JobView, TeamView};
 use crate::protocol::cloud::Catalog;
 use crate::protocol::users::{JobKind, JobSpec};
 use crate::protocol::Resources;
 use crate::settings::Objective;
-use crate::storage::hashing::HashMap;
 use crate::storage::job::Job;
+use crate::storage::machine::TaskId;
 use crate::storage::records::MachineName;
 
 impl<'a> InputBuilder<'a> {
@@ -22,7 +22,7 @@
             let Some(spec) = &job.spec else { continue };
             let Some(team) = self.indices.team(&spec.team) else { continue };
             team_needs[team] += job.need * i64::from(job.tasks - job.done_count.min(job.tasks));
-            if waiting_tasks(job) == 0 || is_paused(job, self.now_ms) {
+            if waiting_tasks(job, self.now_ms) == 0 || is_paused(job, self.now_ms) {
                 continue;
             }
             let guarantee = self.settings.params.teams[team].guarantee();
@@ -44,6 +44,7 @@
         let zones = self.zone_constraints(job, spec)?;
         let waited_ms = self.clock.wall_ms.saturating_sub(job.accepted_at_wall_ms);
         let run_ms = self.leader.expected_run_ms(spec);
+        let AvoidedMachines { avoided, retryable } = self.avoided_machines(job);
         Some(JobView {
             priority: spec.priority,
             team,
@@ -62,14 +63,42 @@
             tasks_per_zone: zones.tasks_per_zone,
             max_tasks_per_zone: spec.zone_cap(),
             one_zone: spec.one_zone,
-            waiting_tasks: waiting_tasks(job),
+            waiting_tasks: waiting_tasks(job, self.now_ms),
             has_started: job.has_started || job.done_count > 0 || !job.placed_on.is_empty(),
             image: self.indices.image(&spec.image),
             image_gb: spec.size_gb,
-            avoided_machines: avoided_machines(job, &self.machine_indices),
+            avoided_machines: avoided,
+            retryable_machines: retryable,
         })
     }
 
+    /// Machines that a job avoids because it failed there. One on which the job is being tried again is not
+    /// retryable until that task has ended or is known to run.
+    fn avoided_machines(&self, job: &Job) -> AvoidedMachines {
+        let mut machines = AvoidedMachines::default();
+        for (name, may_retry) in job.failures.avoided_machines(self.now_ms) {
+            let Some(&index) = self.machine_indices.get(name) else { continue };
+            // A gang needs all its machines at once, so one that may be retried counts as any other.
+            if may_retry && job.is_gang() {
+                continue;
+            }
+            machines.avoided.push(index);
+            if may_retry && !self.is_trying(job, name) {
+                machines.retryable.push(index);
+            }
+        }
+        machines
+    }
+
+    /// Whether a task of the job is placed on the machine and not known to run there.
+    fn is_trying(&self, job: &Job, machine: &MachineName) -> bool {
+        let placed = job.placed_on.iter().filter(|(_, name)| *name == machine);
+        let mut placements = placed.filter_map(|(index, name)| {
+            self.cluster.placement(name, &TaskId::new(job.id.clone(), *index))
+        });
+        placements.any(|placement| placement.running_since.is_none())
+    }
+
     /// Zone constraints of a job; `None` if the job can't be placed at present.
     fn zone_constraints(&self, job: &Job, spec: &JobSpec) -> Option<ZoneConstraints> {
         let tasks_per_zone = self.tasks_per_zone(job, spec)?;
@@ -115,6 +144,14 @@
     }
 }
 
+/// Indices of the machines that a job avoids because it failed there.
+#[derive(Default)]
+struct AvoidedMachines {
+    avoided: Vec<usize>,
+    /// Those on which it may be tried again if no other machine fits.
+    retryable: Vec<usize>,
+}
+
 /// Zone constraints of a job.
 struct ZoneConstraints {
     /// Unsettled tasks per zone.
@@ -124,9 +161,9 @@
 }
 
 /// Tasks of a job that are offered to the planner.
-pub(super) fn waiting_tasks(job: &Job) -> u32 {
+pub(super) fn waiting_tasks(job: &Job, now_ms: u64) -> u32 {
     // A job that failed on several machines in a row is retried one task at a time.
-    match job.fails_on_several_machines() && !job.is_gang() {
+    match job.failures.are_on_several_machines(now_ms) && !job.is_gang() {
         true => job.waiting_tasks().min(1),
         false => job.waiting_tasks(),
     }
@@ -135,7 +172,7 @@
 /// Whether a job is in backoff after failures of its tasks or of its gang's attempts.
 fn is_paused(job: &Job, now_ms: u64) -> bool {
     let gang_retry_at = job.gang.as_ref().map_or(0, |gang| gang.retry_at);
-    job.paused_until.max(gang_retry_at) > now_ms
+    job.failures.is_paused(now_ms) || gang_retry_at > now_ms
 }
 
 /// Which machine types a job may use, in the order of the catalog.
@@ -144,18 +181,6 @@
     types.map(|machine_type| spec.allows_type(&machine_type.type_name)).collect()
 }
 
-/// Machines on which a job failed; empty if it failed on many, so that the job itself is suspected.
-fn avoided_machines(job: &Job, machine_indices: &HashMap<&MachineName, usize>) -> Vec<usize> {
-    let may_use_every_machine = match job.is_gang() {
-        true => job.failed_on.len() > GANG_AVOIDED_MACHINES_MAX,
-        false => job.fails_on_several_machines(),
-    };
-    if may_use_every_machine {
-        return Vec::new();
-    }
-    job.failed_on.iter().filter_map(|machine| machine_indices.get(machine).copied()).collect()
-}
-
 /// Milliseconds until each deadline of a job, sorted: those from the objectives for its class, and its own.
 pub(super) fn due_in_ms(
     objectives: &[Objective],
--- a/src/coordination/wait_reason.rs
+++ b/src/coordination/wait_reason.rs
@@ -88,10 +88,11 @@
             return None;
         }
         let reserved = leader.reservation.as_ref().filter(|(job_id, _)| *job_id == job.id);
-        let avoided = avoided_machines(job);
+        let now = self.now.monotonic_ms;
+        let avoided = avoided_machines(job, now);
         Some(match reserved {
             Some((_, machine)) => WaitReason::Reserved { machine: machine.clone(), avoided },
-            None if job.paused_until > self.now.monotonic_ms => WaitReason::Paused,
+            None if job.failures.is_paused(now) => WaitReason::Paused,
             None if self.at_team_limit(leader, job) => WaitReason::TeamLimit,
             None => WaitReason::NoCapacity { avoided },
         })
@@ -138,11 +139,9 @@
 }
 
 /// Names of the machines that a job avoids.
-fn avoided_machines(job: &Job) -> Vec<MachineName> {
-    if job.fails_on_several_machines() {
-        return Vec::new();
-    }
-    let mut avoided: Vec<MachineName> = job.failed_on.iter().cloned().collect();
+fn avoided_machines(job: &Job, now: u64) -> Vec<MachineName> {
+    let machines = job.failures.avoided_machines(now);
+    let mut avoided: Vec<MachineName> = machines.map(|(name, _)| name.clone()).collect();
     avoided.sort();
     avoided
 }
--- a/src/storage/cluster/placements.rs
+++ b/src/storage/cluster/placements.rs
@@ -121,8 +121,7 @@
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         job.mark_done(id.index);
         job.successes += 1;
-        job.failed_on.clear();
-        job.failure_backoff_ms = 0;
+        job.failures.clear();
         if job.is_complete() {
             self.completed_jobs.insert(job.id.clone());
         }
--- a/src/storage/job.rs
+++ b/src/storage/job.rs
@@ -2,9 +2,10 @@
 
 use super::gangs::GangState;
 use super::hashing::{HashKeys, HashMap, HashSet};
+use super::job_failures::JobFailures;
 use super::records::{chunk_name, Bitmap, JobId, JobRecord, JobStage, MachineName};
 use super::replica::Versioned;
-use crate::constants::{DONE_CHUNK_TASKS, FAILING_JOB_MACHINES};
+use crate::constants::DONE_CHUNK_TASKS;
 use crate::protocol::users::{JobKind, JobSpec};
 use crate::protocol::Resources;
 use std::collections::{BTreeMap, BTreeSet};
@@ -61,12 +62,8 @@
     pub placed_on: BTreeMap<u32, MachineName>,
     /// Tasks whose last placement is settled, but the settlement is not committed yet.
     pub settling: HashSet<u32>,
-    /// Machines on which a task has failed since a task of the job last succeeded.
-    pub failed_on: HashSet<MachineName>,
-    /// Length of the last pause after failures, in milliseconds; 0 after a success.
-    pub failure_backoff_ms: u64,
-    /// Time on the monotonic clock, in milliseconds, until which none of its tasks is started.
-    pub paused_until: u64,
+    /// Failures of its tasks since one last succeeded.
+    pub failures: JobFailures,
     /// Number of tasks that completed successfully in this term.
     pub successes: u32,
     /// Whether any of its tasks was seen running.
@@ -105,9 +102,7 @@
             requeued: BTreeSet::new(),
             placed_on: BTreeMap::new(),
             settling: keys.set(),
-            failed_on: keys.set(),
-            failure_backoff_ms: 0,
-            paused_until: 0,
+            failures: JobFailures::new(keys),
             successes: 0,
             has_started: false,
             quarantined,
@@ -145,11 +140,6 @@
         self.placed_on.is_empty() && self.settling.is_empty()
     }
 
-    /// Whether tasks failed on several machines and none has succeeded since.
-    pub fn fails_on_several_machines(&self) -> bool {
-        self.failed_on.len() >= FAILING_JOB_MACHINES
-    }
-
     /// The tasks with unsettled placements.
     pub fn placed_tasks(&self) -> Vec<PlacedTask> {
         let placed = self.placed_on.iter();
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,126 @@
+//! Scenarios with tasks that fail: what a machine's or a job's failures lead to, and when that ends.
+
+mod simulation;
+
+use serde_json::json;
+use simulation::*;
+
+const SEEDS: std::ops::Range<u64> = 0..4;
+
+/// GPUs of a simulated machine.
+const MACHINE_GPUS: u32 = 4;
+
+/// Time for which users accept that a job waits beside a machine that has room for it (`hunt/LATER.md`).
+const WAIT_LIMIT_MS: u64 = 90_000;
+
+/// A simulation with a leader and this many machines, more than which the cloud doesn't have.
+fn cluster_of(seed: u64, machines: usize) -> Simulation {
+    let mut sim = Simulation::with_machines(seed, machines);
+    sim.run_until(10_000, "a leader", |sim| sim.leader().is_some());
+    sim.run(3_000);
+    sim
+}
+
+/// Submits a job of the team without a limit.
+fn submit(sim: &mut Simulation, n: u64, shape: &str, tasks: u32, run_ms: u64) -> String {
+    let mut spec = sim.job_spec(n, shape, tasks);
+    spec["crew"] = json!("blue");
+    sim.submit(spec, run_ms, n as usize % 3);
+    format!("job-{n:06}")
+}
+
+/// A full cluster of two machines but for one slot; returns the name of the machine that has it.
+fn one_free_slot(sim: &mut Simulation) -> String {
+    let services = 2 * MACHINE_GPUS - 1;
+    submit(sim, 1, "standing", services, u64::MAX);
+    sim.run_until(20_000, "the services run", |sim| sim.running_tasks() == services as usize);
+    let has_free_slot = |worker: &Worker| worker.unfinished_tasks().count() < MACHINE_GPUS as usize;
+    let (name, _) = sim.workers.iter().find(|(_, worker)| has_free_slot(worker)).expect("a slot");
+    name.clone()
+}
+
+fn set_faulty(sim: &mut Simulation, machine: &str, faulty: bool) {
+    sim.workers.get_mut(machine).expect("a machine").fails_all_tasks = faulty;
+}
+
+/// Guards against jobs that are never started again on a machine that failed them once, though it is sound
+/// again and the only one with room.
+#[test]
+fn a_job_is_tried_again_on_the_only_machine_with_room_although_it_failed_there() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 2);
+        let machine = one_free_slot(&mut sim);
+        set_faulty(&mut sim, &machine, true);
+        let job = submit(&mut sim, 2, "batch", 1, 5_000);
+        sim.run_until(10_000, "it fails", |sim| sim.jobs[&job].start_commands > 0);
+        sim.run(4_000);
+        set_faulty(&mut sim, &machine, false);
+        sim.run_until_done(&job, WAIT_LIMIT_MS);
+    }
+}
+
+/// Guards against the same for a gang, which needs all its machines.
+#[test]
+fn a_gang_is_tried_again_on_a_machine_that_it_needs_although_it_failed_there() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 2);
+        // A replica in each zone keeps both machines.
+        let mut spec = sim.job_spec(1, "standing", 2);
+        spec["crew"] = json!("blue");
+        spec["apart"] = json!(true);
+        sim.submit(spec, u64::MAX, 0);
+        sim.run_until(20_000, "the service runs", |sim| sim.running_tasks() == 2);
+        let machine = sim.workers.keys().next().expect("a machine").clone();
+        set_faulty(&mut sim, &machine, true);
+        let job = submit(&mut sim, 2, "ensemble", 2 * MACHINE_GPUS - 2, 3_000);
+        sim.run_until(10_000, "it fails", |sim| sim.jobs[&job].start_commands > 0);
+        sim.run(4_000);
+        set_faulty(&mut sim, &machine, false);
+        sim.run_until_done(&job, WAIT_LIMIT_MS);
+    }
+}
+
+/// Guards against jobs that are sent back to the machine that has just failed them while another fits.
+#[test]
+fn a_job_is_not_sent_back_to_the_machine_that_failed_it_while_another_fits() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 3);
+        let machine = sim.workers.keys().next().expect("a machine").clone();
+        // It has a service, so that it stays although nothing starts there any more.
+        submit(&mut sim, 1, "standing", 3, u64::MAX);
+        sim.run_until(20_000, "the services run", |sim| sim.running_tasks() == 3);
+        set_faulty(&mut sim, &machine, true);
+        let job = submit(&mut sim, 2, "batch", 4, 100_000);
+        sim.run_until(30_000, "all run", |sim| sim.running_tasks_of(&job) == 4);
+        let failed_starts = sim.jobs[&job].start_commands - 4;
+        assert!(failed_starts <= MACHINE_GPUS, "seed {seed}: {failed_starts} starts failed");
+        sim.run(60_000);
+        assert_eq!(sim.jobs[&job].start_commands, failed_starts + 4, "seed {seed}: none moved");
+    }
+}
+
+/// Guards against a job with a mistake that is started again and again without a pause, or no longer at all.
+#[test]
+fn a_job_that_fails_wherever_it_starts_is_retried_with_growing_but_bounded_pauses() {
+    for machines in [1, 2, 4] {
+        let mut sim = cluster_of(1, machines);
+        // Services keep the machines, so that failures there don't lead to new ones.
+        let services = machines as u32;
+        submit(&mut sim, 1, "standing", services, u64::MAX);
+        sim.run_until(20_000, "the services run", |sim| sim.running_tasks() == services as usize);
+        let job = submit(&mut sim, 2, "batch", 1, 5_000);
+        sim.jobs.get_mut(&job).expect("just submitted").always_fails = true;
+        sim.run(60_000);
+        let in_first_minute = sim.jobs[&job].start_commands;
+        assert!(in_first_minute <= 10, "{machines} machines: {in_first_minute} starts in a minute");
+        let mut before = in_first_minute;
+        for _ in 0..4 {
+            sim.run(WAIT_LIMIT_MS);
+            let starts = sim.jobs[&job].start_commands - before;
+            assert!((1..=4).contains(&starts), "{machines} machines: {starts} starts in 90 s");
+            before += starts;
+        }
+        let other = submit(&mut sim, 3, "batch", 1, 2_000);
+        sim.run_until_done(&other, WAIT_LIMIT_MS);
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -853,7 +853,7 @@
         cluster.machines.values().filter(|m| !m.cordoned).count() >= 1,
         "not all machines are cordoned"
     );
-    assert!(cluster.jobs["job-000005"].paused_until > 0, "the failing job is paused");
+    assert!(cluster.jobs["job-000005"].failures.paused_until() > 0, "the failing job is paused");
 }
 
 #[test]
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -73,6 +73,15 @@
         self.in_flight = None;
     }
 
+    /// Ends all tasks and begins the next incarnation, as when the lease expires.
+    pub fn begin_incarnation(&mut self, now: u64) {
+        self.tasks.clear();
+        self.incarnation += 1;
+        self.lease_started_at = now;
+        self.in_flight = None;
+        self.changed = true;
+    }
+
     /// Sets the highest fencing token that the worker claims to have received, which may be one that no
     /// controller has sent.
     pub fn set_fencing_token(&mut self, token: u64) {
@@ -136,11 +145,7 @@
         // The lease has expired, so all tasks end. A hung machine does this before all else when it resumes, so
         // its tasks count as ended while it still hangs.
         if now > worker.lease_started_at + LEASE_MS {
-            worker.tasks.clear();
-            worker.incarnation += 1;
-            worker.lease_started_at = now;
-            worker.in_flight = None;
-            worker.changed = true;
+            worker.begin_incarnation(now);
         }
         if now < worker.hung_until {
             return;
