A success of a job ends its pause

What callers saw: after failures on two machines a job is paused, up to a minute. When another of its tasks then succeeded, the waiting tasks stayed paused beside machines that worked again.

Cause: a success emptied the failures and reset the next pause, but left the end of the present one. Found by going through what ends each memory of a failure. Change: JobFailures::clear ends the pause too.

Test: a_pause_ends_when_a_task_of_the_job_succeeds fails without the line ('not within 10000 ms: the others run again') and passes with it.

--- a/src/storage/job_failures.rs
+++ b/src/storage/job_failures.rs
@@ -80,6 +80,7 @@
     pub fn clear(&mut self) {
         self.by_machine.clear();
         self.pause.reset();
+        self.paused_until = 0;
     }
 
     /// Whether none of the job's tasks is started at present.
--- a/src/storage/job_failures/tests.rs
+++ b/src/storage/job_failures/tests.rs
@@ -86,11 +86,13 @@
 }
 
 #[test]
-fn a_success_ends_avoidance() {
+fn a_success_ends_pause_and_avoidance() {
     let mut fixture = Fixture::new();
     fixture.fail("n-1", 1_000);
     fixture.fail("n-2", 1_000);
+    assert!(fixture.failures.is_paused(1_001));
     fixture.failures.clear();
+    assert!(!fixture.failures.is_paused(1_001));
     assert!(fixture.avoided(1_001).is_empty());
     assert!(!fixture.failures.are_on_several_machines(1_001));
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,6 +2,7 @@
 
 mod simulation;
 
+use mountgap::storage::cluster::ClusterState;
 use serde_json::json;
 use simulation::*;
 
@@ -39,6 +40,30 @@
     name.clone()
 }
 
+/// Name of the service of [`keep_machines_of_both_zones`].
+const SERVICE: &str = "job-000001";
+
+/// Starts a service with a replica in each zone, which keeps two machines from being returned.
+fn keep_machines_of_both_zones(sim: &mut Simulation) {
+    let mut spec = sim.job_spec(1, "standing", 2);
+    spec["crew"] = json!("blue");
+    spec["apart"] = json!(true);
+    sim.submit(spec, u64::MAX, 0);
+    sim.run_until(20_000, "the service runs", |sim| sim.running_tasks_of(SERVICE) == 2);
+}
+
+/// The state of the cluster as the leader knows it.
+fn cluster(sim: &Simulation) -> &ClusterState {
+    let leader = sim.leader().expect("a leader");
+    let controller = sim.nodes[leader].controller.as_ref().expect("the leader is up");
+    &controller.leader().expect("it leads").cluster
+}
+
+/// When the last pause of a job ends or ended.
+fn paused_until(sim: &Simulation, job: &str) -> u64 {
+    cluster(sim).jobs[job].failures.paused_until()
+}
+
 fn set_faulty(sim: &mut Simulation, machine: &str, faulty: bool) {
     sim.workers.get_mut(machine).expect("a machine").fails_all_tasks = faulty;
 }
@@ -64,12 +89,7 @@
 fn a_gang_is_tried_again_on_a_machine_that_it_needs_although_it_failed_there() {
     for seed in SEEDS {
         let mut sim = cluster_of(seed, 2);
-        // A replica in each zone keeps both machines.
-        let mut spec = sim.job_spec(1, "standing", 2);
-        spec["crew"] = json!("blue");
-        spec["apart"] = json!(true);
-        sim.submit(spec, u64::MAX, 0);
-        sim.run_until(20_000, "the service runs", |sim| sim.running_tasks() == 2);
+        keep_machines_of_both_zones(&mut sim);
         let machine = sim.workers.keys().next().expect("a machine").clone();
         set_faulty(&mut sim, &machine, true);
         let job = submit(&mut sim, 2, "ensemble", 2 * MACHINE_GPUS - 2, 3_000);
@@ -124,3 +144,26 @@
         sim.run_until_done(&other, WAIT_LIMIT_MS);
     }
 }
+
+/// Guards against a job that stays paused although one of its tasks has succeeded.
+#[test]
+fn a_pause_ends_when_a_task_of_the_job_succeeds() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 3);
+        keep_machines_of_both_zones(&mut sim);
+        let job = submit(&mut sim, 2, "batch", 10, 1_000_000);
+        sim.run_until(20_000, "all run", |sim| sim.running_tasks_of(&job) == 10);
+        let (faulty, sound): (Vec<String>, Vec<String>) =
+            sim.workers.keys().cloned().partition(|name| sim.workers[name].holds_task_of(SERVICE));
+        for machine in &faulty {
+            set_faulty(&mut sim, machine, true);
+            sim.workers.get_mut(machine).expect("a machine").end_tasks_of(&job, "error");
+        }
+        sim.run_until(200_000, "a long pause", |sim| paused_until(sim, &job) > sim.now + 20_000);
+        for machine in &faulty {
+            set_faulty(&mut sim, machine, false);
+        }
+        sim.workers.get_mut(&sound[0]).expect("a machine").complete_tasks_of(&job);
+        sim.run_until(10_000, "the others run again", |sim| sim.running_tasks_of(&job) == 6);
+    }
+}
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -82,6 +82,26 @@
         self.changed = true;
     }
 
+    /// Lets the running tasks of a job complete in the next step.
+    pub fn complete_tasks_of(&mut self, job_id: &str) {
+        for state in self.states_of(job_id) {
+            if let TaskState::Running { remaining_ms, .. } = state {
+                *remaining_ms = 0;
+            }
+        }
+    }
+
+    /// Ends all tasks of a job with this cause.
+    pub fn end_tasks_of(&mut self, job_id: &str, cause: &'static str) {
+        self.states_of(job_id).for_each(|state| *state = TaskState::Ended(cause));
+        self.changed = true;
+    }
+
+    fn states_of<'a>(&'a mut self, job_id: &'a str) -> impl Iterator<Item = &'a mut TaskState> {
+        let of_job = self.tasks.iter_mut().filter(move |((id, _), _)| id == job_id);
+        of_job.flat_map(|(_, attempts)| attempts).map(|task| &mut task.state)
+    }
+
     /// Sets the highest fencing token that the worker claims to have received, which may be one that no
     /// controller has sent.
     pub fn set_fencing_token(&mut self, token: u64) {
