A cordon ends by time, or with the failures that it rests on

What callers saw: a machine that had failed tasks of two jobs got no new task while the leader stayed; one with a service isn't returned either, so its free room was lost though it worked again.

Cause: Machine::cordoned was set and never taken back. The first failure of a job that fails everywhere stayed evidence against its machine after the second, and after the user had cancelled the job.

Change: a circuit breaker for each machine. Open for 20 s, doubled up to 60 s, equal jitter; then half-open: one task at a time until one placed since then succeeds or has run for 20 s. A job that fails on a second machine, or is cancelled, takes its failures back, and a cordon without enough left is lifted at once; if the job succeeds elsewhere after all, they count again. A success withdraws only failures from before its task was placed. A machine listed as failed is out of use by that alone.

Tests that read the field read the method now, and one more state of a machine is checked. a_pause_ends_when_a_task_of_the_job_succeeds now expects the room of the third machine to be used, since the success cordons the other two; it still fails without the end of the pause.

--- a/src/constants/planning.rs
+++ b/src/constants/planning.rs
@@ -100,6 +100,15 @@
 pub const FAILING_JOB_MACHINES: usize = 2;
 /// Number of failed jobs, or of failures if the job succeeds elsewhere, after which a machine is
 /// cordoned; jobs that fail on several machines don't count.
-pub const CORDON_FAILURES: u32 = 2;
+pub const CORDON_FAILURES: usize = 2;
 /// Milliseconds for which a failure counts against a machine.
 pub const CORDON_WINDOW_MS: u64 = 60_000;
+/// Base in milliseconds of the backoff for which a machine is cordoned after failures.
+pub const CORDON_MS: u64 = 20_000;
+/// Maximum in milliseconds of the backoff whose base is [`CORDON_MS`]. No job may wait for 90 s beside a machine
+/// that works again.
+pub const CORDON_MAX_MS: u64 = 60_000;
+/// Milliseconds that a task runs on a machine on probation until the machine counts as sound.
+pub const PROBATION_RUN_MS: u64 = 20_000;
+/// Milliseconds after which a probation ends without a failure, also if no task was placed.
+pub const PROBATION_MAX_MS: u64 = 180_000;
--- a/src/coordination/fleet/defragmentation.rs
+++ b/src/coordination/fleet/defragmentation.rs
@@ -158,7 +158,9 @@
             .machines
             .values()
             .filter(|machine| {
-                machine.draining && machine.state == MachineState::Up && !machine.cordoned
+                machine.draining
+                    && machine.state == MachineState::Up
+                    && !machine.health.is_cordoned()
             })
             .map(|machine| (load(cluster, machine), machine.name.clone()))
             .collect();
--- a/src/coordination/fleet/inventory.rs
+++ b/src/coordination/fleet/inventory.rs
@@ -162,7 +162,6 @@
     fn mark_machine_failed(&mut self, name: &MachineName, now: u64) {
         self.cluster.settle_machine(name);
         if let Some(machine) = self.cluster.machines.get_mut(name) {
-            machine.cordoned = true;
             machine.lease_expired = true;
             machine.failed = true;
         }
--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -7,12 +7,14 @@
 //! - [`scale_out`]: rents machines.
 //! - [`scale_in`]: returns machines.
 //! - [`defragmentation`]: drains underutilized machines.
+//! - [`health`]: ends cordons and probations.
 //!
 //! This module places no tasks: the planner does, on the machines provided here.
 
 mod catalog;
 mod defragmentation;
 mod forecast;
+mod health;
 mod inventory;
 mod scale_in;
 mod scale_out;
@@ -131,6 +133,7 @@
             leader.record_arrivals(self.now, catalog);
         }
         self.remove_terminated_machines();
+        self.end_cordons();
         self.defragment();
         self.move_services();
         // Without the state service this controller may have lost the leadership: it must not
--- a/src/coordination/fleet/scale_in.rs
+++ b/src/coordination/fleet/scale_in.rs
@@ -97,7 +97,7 @@
                 Some(_) => MachineState::Up,
                 None => MachineState::AwaitingHeartbeat,
             };
-            machine.cordoned = true;
+            machine.health.cordon_for_deletion();
         }
     }
 }
@@ -174,7 +174,7 @@
         if machine.lease_expired {
             let contact_timeout_ms = self.contact_timeout_ms(machine);
             return machine.last_response_at.is_none_or(|at| now > at + contact_timeout_ms)
-                || machine.cordoned;
+                || machine.health.is_cordoned();
         }
         // A silent machine past its reclaim time is deleted at once: to wait until it is missing from the
         // list would delay the restart of its tasks by twice the list lag.
@@ -183,7 +183,7 @@
             let is_silent = machine.last_alive_at.is_none_or(|at| now > at + self.silent_ms);
             return is_empty || (is_past && is_silent);
         }
-        if machine.cordoned {
+        if machine.health.is_cordoned() {
             return is_empty;
         }
         if !is_empty {
--- a/src/coordination/heartbeats/processing.rs
+++ b/src/coordination/heartbeats/processing.rs
@@ -209,7 +209,7 @@
     pub(super) fn may_get_commands(&self, machine_name: &MachineName) -> bool {
         self.cluster.machines.get(machine_name).is_some_and(|machine| {
             let takes_new_tasks = machine.state == MachineState::Up
-                && !machine.cordoned
+                && !machine.health.is_cordoned()
                 && machine.reclaim_at.is_none();
             machine.uncommitted_placements > 0 || takes_new_tasks
         })
--- a/src/coordination/planner_input/machines.rs
+++ b/src/coordination/planner_input/machines.rs
@@ -65,7 +65,7 @@
                 type_index,
                 spot: machine.spot,
                 total: machine.total,
-                free_task_slots: TASKS_PER_HEARTBEAT.saturating_sub(machine.placements.len()),
+                free_task_slots: machine.free_task_slots(TASKS_PER_HEARTBEAT),
                 running,
                 images,
                 fetch_ms_per_gb,
--- a/src/coordination/planner_input/tests.rs
+++ b/src/coordination/planner_input/tests.rs
@@ -66,9 +66,10 @@
 #[test]
 fn only_a_usable_machine_that_sends_heartbeats_is_schedulable() {
     assert!(is_schedulable(&schedulable_machine(), NOW_MS, 10_000));
-    let disqualifying_changes: [fn(&mut Machine); 8] = [
+    let disqualifying_changes: [fn(&mut Machine); 9] = [
+        |machine| machine.failed = true,
         |machine| machine.state = MachineState::AwaitingHeartbeat,
-        |machine| machine.cordoned = true,
+        |machine| machine.health.cordon_for_deletion(),
         |machine| machine.draining = true,
         |machine| machine.lease_expired = true,
         |machine| machine.reclaim_at = Some(NOW_MS + 60_000),
--- a/src/coordination/status.rs
+++ b/src/coordination/status.rs
@@ -138,7 +138,7 @@
         MachineState::Terminated => "gone",
         MachineState::Up if machine.lease_expired => "silent",
         MachineState::Up if machine.reclaim_at.is_some() => "reclaimed",
-        MachineState::Up if machine.cordoned => "set aside",
+        MachineState::Up if machine.health.is_cordoned() => "set aside",
         MachineState::Up => "up",
     }
 }
--- a/src/storage/cluster/jobs.rs
+++ b/src/storage/cluster/jobs.rs
@@ -80,9 +80,24 @@
         for task in job.placed_tasks() {
             self.stop_task(id, &task, StopReason::NotNeeded);
         }
+        if stage == JobStage::Cancelled {
+            self.withdraw_failures(id);
+        }
         self.remove_if_finished(id);
     }
 
+    /// Withdraws the failures of a job that was cancelled: users cancel jobs with a mistake, which fail on
+    /// every machine.
+    fn withdraw_failures(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        for name in job.failures.machines() {
+            let Some(machine) = self.machines.get_mut(name) else { continue };
+            if machine.health.withdraw_failures(id) {
+                log::info!("machine uncordoned: {name}, {id} failed there and was cancelled");
+            }
+        }
+    }
+
     fn stop_task(&mut self, job: &JobId, task: &PlacedTask, reason: StopReason) {
         let id = TaskId::new(job.clone(), task.index);
         if let Some(placement) = self.placement_mut(&task.machine, &id) {
--- a/src/storage/machine.rs
+++ b/src/storage/machine.rs
@@ -1,5 +1,6 @@
 //! Machines and the placements on them, as the leader of a term knows them.
 
+use super::machine_health::MachineHealth;
 use super::records::{JobId, MachineName, StoredPlacement};
 use crate::constants::{ATTEMPT_COUNTER_BITS, IMAGES_PER_MACHINE_MAX, UNREACHABLE_AFTER_SIGNS};
 use crate::protocol::workers::{EndCause, Heartbeat, TaskStatus};
@@ -210,15 +211,13 @@
     pub images: Vec<(String, f64)>,
     /// Number of placements on it that are not stored yet.
     pub uncommitted_placements: u32,
-    /// Whether it gets no new tasks and is returned once it is empty.
-    pub cordoned: bool,
+    /// Whether it may get new tasks, from how tasks ended on it.
+    pub health: MachineHealth,
     /// Whether the cloud lists it as failed: nothing runs on it any more.
     pub failed: bool,
     /// Whether it is being drained because other machines have capacity for its tasks. It is undrained
     /// if they no longer have.
     pub draining: bool,
-    /// Time and job of recent failures of tasks on it.
-    pub failures: Vec<(u64, JobId)>,
     /// Since when it is empty.
     pub idle_since: Option<u64>,
     /// Number of tasks that completed successfully on it.
@@ -253,10 +252,9 @@
             unknown_tasks: BTreeSet::new(),
             images: Vec::new(),
             uncommitted_placements: 0,
-            cordoned: false,
+            health: MachineHealth::default(),
             failed: false,
             draining: false,
-            failures: Vec::new(),
             idle_since: None,
             successes: 0,
         }
@@ -265,13 +263,31 @@
     /// Whether it is up and may get new tasks.
     pub fn is_usable(&self) -> bool {
         self.state == MachineState::Up
-            && !self.cordoned
+            && !self.health.is_cordoned()
+            && !self.failed
             && !self.draining
             && !self.lease_expired
             && self.unreachable_since.is_none()
             && self.reclaim_at.is_none()
     }
 
+    /// Number of tasks that it may get at present, out of `slots`: one at a time on probation.
+    pub fn free_task_slots(&self, slots: usize) -> usize {
+        let free = slots.saturating_sub(self.placements.len());
+        match self.probation_tasks().next() {
+            Some(_) => 0,
+            None if self.health.probation_since().is_some() => free.min(1),
+            None => free,
+        }
+    }
+
+    /// Unsettled placements that were made during the machine's probation.
+    pub fn probation_tasks(&self) -> impl Iterator<Item = &Placement> {
+        let since = self.health.probation_since();
+        let unsettled = self.placements.values().filter(|placement| placement.settled.is_none());
+        unsettled.filter(move |placement| since.is_some_and(|since| placement.placed_at >= since))
+    }
+
     /// Whether it has neither placements nor unknown tasks.
     pub fn is_empty(&self) -> bool {
         self.placements.is_empty() && self.unknown_tasks.is_empty()
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -3,7 +3,8 @@
 //! [`records`] has the stored keys and values, and [`replica`] is a controller's copy of the store.
 //! [`cluster`] is the state that a leader builds from it. It consists of [`job`]s, [`machine`]s with the
 //! placements on them, [`gangs`], and the stored groups of [`placement_group`] and [`done_tasks_group`].
-//! [`job_failures`] remembers where a job failed, with the delays of [`backoff`].
+//! [`job_failures`] remembers where a job failed and [`machine_health`] what failed on a machine, with the delays
+//! of [`backoff`].
 //! [`reservation`] is the planner's table of running tasks and their estimated ends, [`token_bucket`]
 //! limits request rates, [`limits`] has the limits of the state service, and [`hashing`] makes the
 //! iteration order of hash maps repeatable.
@@ -20,6 +21,7 @@
 pub mod job_failures;
 pub mod limits;
 pub mod machine;
+pub mod machine_health;
 pub mod placement_group;
 pub mod replica;
 pub mod reservation;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -64,6 +64,13 @@
     cluster(sim).jobs[job].failures.paused_until()
 }
 
+/// Names of the machines that are cordoned.
+fn cordoned_machines(sim: &Simulation) -> Vec<String> {
+    let machines = cluster(sim).machines.values();
+    let cordoned = machines.filter(|machine| machine.health.is_cordoned());
+    cordoned.map(|machine| machine.name.to_string()).collect()
+}
+
 fn set_faulty(sim: &mut Simulation, machine: &str, faulty: bool) {
     sim.workers.get_mut(machine).expect("a machine").fails_all_tasks = faulty;
 }
@@ -164,6 +171,88 @@
             set_faulty(&mut sim, machine, false);
         }
         sim.workers.get_mut(&sound[0]).expect("a machine").complete_tasks_of(&job);
-        sim.run_until(10_000, "the others run again", |sim| sim.running_tasks_of(&job) == 6);
+        sim.run(100);
+        assert_eq!(sim.jobs[&job].done_tasks.len(), MACHINE_GPUS as usize);
+        // The success shows that the other two machines were at fault, so these are cordoned.
+        sim.run_until(10_000, "others run in its place", |sim| {
+            sim.running_tasks_of(&job) == MACHINE_GPUS as usize
+        });
+    }
+}
+
+/// Guards against sound machines that stay cordoned since jobs with a mistake failed there.
+#[test]
+fn jobs_with_a_mistake_leave_no_machine_cordoned() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 2);
+        keep_machines_of_both_zones(&mut sim);
+        let sound = submit(&mut sim, 2, "batch", 12, 500);
+        sim.run_until_done(&sound, 30_000);
+        for pair in [[3, 4], [5, 6]] {
+            for n in pair {
+                let job = submit(&mut sim, n, "batch", 1, 5_000);
+                sim.jobs.get_mut(&job).expect("just submitted").always_fails = true;
+            }
+            sim.run(8_000);
+        }
+        for n in 3..=6 {
+            sim.cancel(&format!("job-{n:06}"), 0);
+        }
+        sim.run(2_000);
+        assert_eq!(cordoned_machines(&sim), Vec::<String>::new(), "seed {seed}");
+        let job = submit(&mut sim, 7, "batch", 2, 2_000);
+        sim.run_until_done(&job, 20_000);
+    }
+}
+
+/// Guards against a machine that gets no task any more since it was faulty for a while, and can't be returned
+/// since a service runs there.
+#[test]
+fn a_machine_that_works_again_gets_tasks_again() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 2);
+        keep_machines_of_both_zones(&mut sim);
+        let machine = sim.workers.keys().next().expect("a machine").clone();
+        set_faulty(&mut sim, &machine, true);
+        for n in 2..=4 {
+            submit(&mut sim, n, "batch", 2, 1_000);
+        }
+        sim.run_until(60_000, "it is cordoned", |sim| cordoned_machines(sim) == [machine.clone()]);
+        (2..=4).for_each(|n| sim.run_until_done(&format!("job-{n:06}"), 60_000));
+        // The other machine is filled up.
+        let free = MACHINE_GPUS - 1;
+        submit(&mut sim, 5, "standing", free, u64::MAX);
+        sim.run_until(60_000, "the services run", |sim| sim.running_tasks() == 2 + free as usize);
+        set_faulty(&mut sim, &machine, false);
+        let job = submit(&mut sim, 6, "batch", 3, 2_000);
+        sim.run_until_done(&job, WAIT_LIMIT_MS);
+        sim.run_until(WAIT_LIMIT_MS, "it counts as sound", |sim| {
+            let health = &cluster(sim).machines[machine.as_str()].health;
+            !health.is_cordoned() && health.probation_since().is_none()
+        });
+    }
+}
+
+/// Guards against a faulty machine that is tried too often, or whose failures hold up the jobs.
+#[test]
+fn a_machine_that_stays_faulty_gets_few_tasks() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 3);
+        keep_machines_of_both_zones(&mut sim);
+        let machine = sim.workers.keys().next().expect("a machine").clone();
+        assert!(sim.workers[&machine].holds_task_of(SERVICE), "it can't be returned");
+        set_faulty(&mut sim, &machine, true);
+        let jobs = 2..302;
+        for n in jobs.clone() {
+            submit(&mut sim, n, "batch", 1, 1_000);
+            sim.run(1_000);
+        }
+        sim.run(20_000);
+        let job_ids: Vec<String> = jobs.map(|n| format!("job-{n:06}")).collect();
+        let undone = job_ids.iter().filter(|id| sim.jobs[*id].done_tasks.is_empty()).count();
+        assert_eq!(undone, 0, "seed {seed}");
+        let starts: u32 = job_ids.iter().map(|id| sim.jobs[id].start_commands).sum();
+        let failed = starts - job_ids.len() as u32;
+        assert!((1..=24).contains(&failed), "seed {seed}: {failed} starts in 320 s failed");
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -850,7 +850,7 @@
     let leader = sim.leader().unwrap();
     let cluster = &sim.nodes[leader].controller.as_ref().unwrap().leader().unwrap().cluster;
     assert!(
-        cluster.machines.values().filter(|m| !m.cordoned).count() >= 1,
+        cluster.machines.values().filter(|m| !m.health.is_cordoned()).count() >= 1,
         "not all machines are cordoned"
     );
     assert!(cluster.jobs["job-000005"].failures.paused_until() > 0, "the failing job is paused");
