A machine whose deletion isn't confirmed gets tasks again after a minute

What callers saw: in an outage of the cloud an accepted job waited beside idle machines until the outage ended.

Cause: an idle machine whose deletion failed was cordoned and, being empty, requested to be deleted again at each look at the fleet; only a confirmation ended that. Change: this cordon ends 60 s after the first request, and the idle time begins again, so that a pass can use the machine.

--- a/src/constants/fleet.rs
+++ b/src/constants/fleet.rs
@@ -57,6 +57,9 @@
 pub const FLEET_PERIOD_MS: u64 = 300;
 /// Milliseconds that each machine adds to [`FLEET_PERIOD_MS`]: an evaluation visits all placements.
 pub const FLEET_PERIOD_PER_MACHINE_MS: f64 = 0.4;
+/// Milliseconds for which a machine gets no new tasks after a request to delete it that was not confirmed, since
+/// the cloud may still execute the request.
+pub const UNCONFIRMED_DELETION_MS: u64 = 60_000;
 /// Milliseconds after which an empty unreachable machine is deleted. A machine that has never sent a
 /// heartbeat is deleted after a worker lease and this time.
 pub const UNREACHABLE_DELETE_MS: u64 = 45_000;
--- a/src/coordination/fleet/health.rs
+++ b/src/coordination/fleet/health.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::{Controller, Leader};
 use crate::storage::machine::{Machine, MachineState};
+use crate::storage::machine_health::CordonEnd;
 
 impl Controller {
     /// Ends cordons and probations that are due, and plans again if a machine may get more tasks.
@@ -27,11 +28,18 @@
 }
 
 fn end_cordon_if_due(machine: &mut Machine, now: u64) -> bool {
-    let has_ended = machine.health.end_cordon_if_due(now);
-    if has_ended {
-        log::info!("machine uncordoned: {}, it gets one task at a time", machine.name);
+    let Some(end) = machine.health.end_cordon_if_due(now) else { return false };
+    match end {
+        CordonEnd::Probation => {
+            log::info!("machine uncordoned: {}, it gets one task at a time", machine.name);
+        }
+        CordonEnd::Usable => {
+            log::info!("machine uncordoned: {}, its deletion was not executed", machine.name);
+            // Otherwise it would be returned again before it can get a task.
+            machine.idle_since = machine.idle_since.map(|_| now);
+        }
     }
-    has_ended
+    true
 }
 
 fn end_probation_if_due(machine: &mut Machine, now: u64) -> bool {
--- a/src/coordination/fleet/scale_in.rs
+++ b/src/coordination/fleet/scale_in.rs
@@ -85,6 +85,7 @@
             }
             return;
         }
+        let now = self.now.monotonic_ms;
         let Some(leader) = self.leader.as_mut() else { return };
         for name in names {
             let machine = leader.cluster.machines.get_mut(&name);
@@ -97,7 +98,7 @@
                 Some(_) => MachineState::Up,
                 None => MachineState::AwaitingHeartbeat,
             };
-            machine.health.cordon_for_deletion();
+            machine.health.cordon_for_deletion(now);
         }
     }
 }
--- a/src/coordination/fleet/scale_in/tests.rs
+++ b/src/coordination/fleet/scale_in/tests.rs
@@ -106,7 +106,7 @@
     assert!(!rules.is_returnable(&expired(20_000 + BOOT_MS), &mut no_services()));
     assert!(rules.is_returnable(&expired(20_000 + BOOT_MS + 1), &mut no_services()));
     let mut cordoned = expired(0);
-    cordoned.health.cordon_for_deletion();
+    cordoned.health.cordon_for_deletion(0);
     assert!(rules.is_returnable(&cordoned, &mut no_services()));
 }
 
--- a/src/coordination/planner_input/tests.rs
+++ b/src/coordination/planner_input/tests.rs
@@ -69,7 +69,7 @@
     let disqualifying_changes: [fn(&mut Machine); 9] = [
         |machine| machine.failed = true,
         |machine| machine.state = MachineState::AwaitingHeartbeat,
-        |machine| machine.health.cordon_for_deletion(),
+        |machine| machine.health.cordon_for_deletion(NOW_MS),
         |machine| machine.draining = true,
         |machine| machine.lease_expired = true,
         |machine| machine.reclaim_at = Some(NOW_MS + 60_000),
--- a/src/storage/machine_health.rs
+++ b/src/storage/machine_health.rs
@@ -8,7 +8,8 @@
 use super::backoff::Backoff;
 use super::records::JobId;
 use crate::constants::{
-    CORDON_FAILURES, CORDON_MAX_MS, CORDON_MS, CORDON_WINDOW_MS, PROBATION_MAX_MS, PROBATION_RUN_MS,
+    CORDON_FAILURES, CORDON_MAX_MS, CORDON_MS, CORDON_WINDOW_MS, PROBATION_MAX_MS,
+    PROBATION_RUN_MS, UNCONFIRMED_DELETION_MS,
 };
 use rand::rngs::SmallRng;
 use std::collections::BTreeSet;
@@ -54,6 +55,15 @@
     HalfOpen { since: u64 },
 }
 
+/// How a cordon ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CordonEnd {
+    /// After failures: the machine is on probation.
+    Probation,
+    /// After an unconfirmed deletion: the machine gets tasks like any other.
+    Usable,
+}
+
 /// What is known of a machine from how tasks ended there. Times are milliseconds of the monotonic clock.
 #[derive(Debug, Clone)]
 pub struct MachineHealth {
@@ -148,20 +158,32 @@
         }
     }
 
-    /// Cordons the machine for good because its deletion was requested and not confirmed.
-    pub fn cordon_for_deletion(&mut self) {
-        let reason = CordonReason::UnconfirmedDeletion;
-        self.breaker = Breaker::Open { reason, until: u64::MAX };
+    /// Cordons the machine because its deletion was requested and not confirmed. A further request does
+    /// not prolong the cordon.
+    pub fn cordon_for_deletion(&mut self, now: u64) {
+        if !self.is_cordoned() {
+            let until = now + UNCONFIRMED_DELETION_MS;
+            self.breaker = Breaker::Open { reason: CordonReason::UnconfirmedDeletion, until };
+        }
     }
 
-    /// Begins the probation once the cordon is old enough. Returns whether it has begun.
-    pub fn end_cordon_if_due(&mut self, now: u64) -> bool {
-        let is_due = matches!(self.breaker, Breaker::Open { until, .. } if now >= until);
-        if is_due {
-            self.failures.clear();
-            self.breaker = Breaker::HalfOpen { since: now };
+    /// Ends a cordon that is old enough.
+    pub fn end_cordon_if_due(&mut self, now: u64) -> Option<CordonEnd> {
+        let Breaker::Open { reason, until } = self.breaker else { return None };
+        if now < until {
+            return None;
+        }
+        self.failures.clear();
+        match reason {
+            CordonReason::TaskFailures => {
+                self.breaker = Breaker::HalfOpen { since: now };
+                Some(CordonEnd::Probation)
+            }
+            CordonReason::UnconfirmedDeletion => {
+                self.breaker = Breaker::Closed;
+                Some(CordonEnd::Usable)
+            }
         }
-        is_due
     }
 
     /// Ends a probation if a task that was placed during it has run for long enough, or if nothing has
--- a/src/storage/machine_health/tests.rs
+++ b/src/storage/machine_health/tests.rs
@@ -28,7 +28,7 @@
     /// Ends the cordon; returns the time at which it ended.
     fn end_cordon(&mut self, from: u64) -> u64 {
         let mut now = from;
-        while !self.health.end_cordon_if_due(now) {
+        while self.health.end_cordon_if_due(now).is_none() {
             assert!(now <= from + CORDON_MAX_MS, "the cordon has no end");
             now += 100;
         }
@@ -61,7 +61,7 @@
 #[test]
 fn a_cordon_ends_with_a_probation_and_a_failure_on_probation_renews_it() {
     let mut fixture = Fixture::cordoned();
-    assert!(!fixture.health.end_cordon_if_due(1_000 + CORDON_MS / 2 - 1));
+    assert_eq!(fixture.health.end_cordon_if_due(1_000 + CORDON_MS / 2 - 1), None);
     let mut now = 1_000;
     for _ in 0..6 {
         now = fixture.end_cordon(now);
@@ -70,7 +70,7 @@
         assert!(fixture.fail("job-3", FailureWeight::Unproven, now + 1_000), "one is enough");
         now += 1_000;
     }
-    assert!(!fixture.health.end_cordon_if_due(now + CORDON_MAX_MS / 2 - 1), "longer");
+    assert!(fixture.health.end_cordon_if_due(now + CORDON_MAX_MS / 2 - 1).is_none(), "longer");
 }
 
 #[test]
@@ -124,3 +124,16 @@
     assert!(fixture.health.is_cordoned());
     assert!(fixture.health.doubt_failures(&"job-2".into()));
 }
+
+#[test]
+fn the_cordon_for_a_deletion_ends_in_time_however_often_the_deletion_is_requested() {
+    let mut health = MachineHealth::default();
+    for now in (1_000..1_000 + UNCONFIRMED_DELETION_MS).step_by(500) {
+        health.cordon_for_deletion(now);
+        assert!(!health.withdraw_failures(&"job-1".into()), "it doesn't rest on failures");
+        assert_eq!(health.end_cordon_if_due(now), None);
+    }
+    let until = 1_000 + UNCONFIRMED_DELETION_MS;
+    assert_eq!(health.end_cordon_if_due(until), Some(CordonEnd::Usable));
+    assert!(!health.is_cordoned());
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -256,3 +256,16 @@
         assert!((1..=24).contains(&failed), "seed {seed}: {failed} starts in 320 s failed");
     }
 }
+
+/// Guards against a machine that is out of use for good since a request to delete it was not confirmed.
+#[test]
+fn a_machine_whose_deletion_is_not_confirmed_gets_tasks_again() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 2);
+        sim.run(50_000);
+        sim.cloud.unavailable = true;
+        sim.run_until(60_000, "its deletion fails", |sim| !cordoned_machines(sim).is_empty());
+        let job = submit(&mut sim, 1, "batch", 2 * MACHINE_GPUS, 2_000);
+        sim.run_until_done(&job, WAIT_LIMIT_MS);
+    }
+}
