--- a/src/coordination/fleet/health.rs
+++ b/src/coordination/fleet/health.rs
@@ -29,16 +29,18 @@
 
 fn end_cordon_if_due(machine: &mut Machine, now: u64) -> bool {
     let Some(end) = machine.health.end_cordon_if_due(now) else { return false };
+    let name = &machine.name;
     match end {
         CordonEnd::Probation => {
-            log::info!("machine uncordoned: {}, it gets one task at a time", machine.name);
+            log::info!("machine uncordoned: {name}, it gets one task at a time");
         }
         CordonEnd::Usable => {
-            log::info!("machine uncordoned: {}, its deletion was not executed", machine.name);
-            // Otherwise it would be returned again before it can get a task.
-            machine.idle_since = machine.idle_since.map(|_| now);
+            log::info!("machine uncordoned: {name}, its deletion was not executed");
         }
     }
+    // An empty one is still here because it could not be returned. It would be requested to be deleted again
+    // before it can get a task.
+    machine.idle_since = machine.idle_since.map(|_| now);
     true
 }
 
--- a/src/coordination/planner/allocation.rs
+++ b/src/coordination/planner/allocation.rs
@@ -56,6 +56,7 @@
         if machine_view.spot && !view.spot_allowed
             || !view.allowed_types[machine_view.type_index]
             || self.machines[machine].free_task_slots == 0
+            || machine_view.on_probation && self.machines[machine].placements > 0
         {
             return false;
         }
--- a/src/coordination/planner/snapshot.rs
+++ b/src/coordination/planner/snapshot.rs
@@ -61,8 +61,10 @@
     pub spot: bool,
     /// Its total resources.
     pub total: Resources,
-    /// How many more tasks its heartbeat can list.
+    /// How many more tasks its heartbeat can list; 0 while a task shows whether it works again.
     pub free_task_slots: usize,
+    /// Gets one task, or one gang, to show whether it works again.
+    pub on_probation: bool,
     /// Tasks placed on it that have not ended.
     pub running: Vec<RunningTask>,
     /// Images that it has cached or is fetching.
--- a/src/coordination/planner/tests.rs
+++ b/src/coordination/planner/tests.rs
@@ -19,6 +19,7 @@
         spot: false,
         total: gpus(n),
         free_task_slots: 100,
+        on_probation: false,
         running: vec![],
         images: vec![CachedImage::ready(0)],
         fetch_ms_per_gb: 4_000.0,
@@ -111,6 +112,17 @@
     assert_eq!(plan(&snapshot(machines(), vec![view])).placements, vec![placed(0, 1)]);
 }
 
+#[test]
+fn a_machine_on_probation_gets_one_task_or_one_gang_in_a_pass() {
+    let on_probation = || MachineView { on_probation: true, ..machine(4) };
+    let array = JobView { waiting_tasks: 3, ..job(1, 1, 60_000) };
+    let decided = plan(&snapshot(vec![on_probation()], vec![array.clone()]));
+    assert_eq!(decided.placements, vec![placed(0, 0)]);
+    let gang = JobView { is_gang: true, ..array };
+    let decided = plan(&snapshot(vec![on_probation()], vec![gang.clone(), job(2, 1, 60_000)]));
+    assert_eq!(decided.placements, vec![placed(0, 0); 3]);
+}
+
 #[test]
 fn a_job_that_would_delay_the_reservation_is_not_backfilled() {
     let mut view = machine(4);
--- a/src/coordination/planner_input/machines.rs
+++ b/src/coordination/planner_input/machines.rs
@@ -66,6 +66,7 @@
                 spot: machine.spot,
                 total: machine.total,
                 free_task_slots: machine.free_task_slots(TASKS_PER_HEARTBEAT),
+                on_probation: machine.health.probation_since().is_some(),
                 running,
                 images,
                 fetch_ms_per_gb,
--- a/src/storage/machine.rs
+++ b/src/storage/machine.rs
@@ -271,13 +271,12 @@
             && self.reclaim_at.is_none()
     }
 
-    /// Number of tasks that it may get at present, out of `slots`: one at a time on probation.
+    /// Number of tasks that it may get at present, out of `slots`: none while a task that was placed during
+    /// its probation has not ended.
     pub fn free_task_slots(&self, slots: usize) -> usize {
-        let free = slots.saturating_sub(self.placements.len());
         match self.probation_tasks().next() {
             Some(_) => 0,
-            None if self.health.probation_since().is_some() => free.min(1),
-            None => free,
+            None => slots.saturating_sub(self.placements.len()),
         }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,6 +3,7 @@
 mod simulation;
 
 use mountgap::storage::cluster::ClusterState;
+use rand::Rng;
 use serde_json::json;
 use simulation::*;
 
@@ -269,3 +270,64 @@
         sim.run_until_done(&job, WAIT_LIMIT_MS);
     }
 }
+
+/// Number of seeds of a normal run of [`random_failures`].
+const RANDOM_SEED_COUNT: u64 = 60;
+/// Environment variable with the number of seeds of a long search.
+const SEED_COUNT_VAR: &str = "MOUNTGAP_SEEDS";
+/// Random events of one seed.
+const EVENTS: u32 = 80;
+
+/// Lets something random happen that has to do with failures.
+fn random_event(sim: &mut Simulation, next_job: &mut u64) {
+    let names: Vec<String> = sim.workers.keys().cloned().collect();
+    let name = names[sim.rng.random_range(0..names.len())].clone();
+    match sim.rng.random_range(0..10) {
+        0..2 => {
+            let worker = sim.workers.get_mut(&name).expect("a machine");
+            worker.fails_all_tasks ^= true;
+        }
+        2 => sim.cloud.unavailable ^= true,
+        3 => cancel_failing_jobs(sim),
+        event => {
+            let tasks = sim.rng.random_range(1..6);
+            let run_ms = sim.rng.random_range(500..20_000);
+            let shape = if sim.rng.random_bool(0.2) { "ensemble" } else { "batch" };
+            let job = submit(sim, *next_job, shape, tasks, run_ms);
+            *next_job += 1;
+            sim.jobs.get_mut(&job).expect("just submitted").always_fails = event == 4;
+        }
+    }
+}
+
+fn cancel_failing_jobs(sim: &mut Simulation) {
+    let fails = |job: &Job| job.always_fails && !job.cancel_requested;
+    let failing = sim.jobs.iter().filter(|(_, job)| fails(job)).map(|(id, _)| id.clone());
+    for job in failing.collect::<Vec<String>>() {
+        sim.cancel(&job, 0);
+    }
+}
+
+fn random_failures(seed: u64) {
+    let mut sim = cluster_of(seed, 2 + seed as usize % 3);
+    keep_machines_of_both_zones(&mut sim);
+    let mut next_job = 2;
+    for _ in 0..EVENTS {
+        random_event(&mut sim, &mut next_job);
+        let ms = sim.rng.random_range(100..4_000);
+        sim.run(ms);
+    }
+    cancel_failing_jobs(&mut sim);
+    for worker in sim.workers.values_mut() {
+        worker.fails_all_tasks = false;
+    }
+    // The cloud stays as it is: without it, the machines that are there have all the room.
+    sim.assert_all_jobs_complete();
+}
+
+/// Guards against any memory of failures that keeps a job waiting beside a machine that works again.
+#[test]
+fn after_random_failures_no_job_waits_beside_room() {
+    let count = std::env::var(SEED_COUNT_VAR).ok().and_then(|count| count.parse().ok());
+    (0..count.unwrap_or(RANDOM_SEED_COUNT)).for_each(random_failures);
+}
