Late copies of start commands: scenarios that show that none starts a task again

A service like this one ran a task on two machines, and a cancelled one again, when a late copy of a start command that had been carried out and answered reached a machine. Whether that can happen here was open.

The simulation now reports a start of an attempt that its worker was told to clear, and any request to the address of a worker; tests/loopback.rs counts connections to it from real processes: none.

No fault was found.

--- a/examples/platform/shared_state.rs
+++ b/examples/platform/shared_state.rs
@@ -23,6 +23,8 @@
     pub starts: BTreeMap<String, u32>,
     /// Addresses of the controllers.
     pub controllers: Vec<String>,
+    /// Address that workers give for direct commands.
+    pub worker_address: String,
     /// Attempts of gangs, by job id and number of the attempt.
     pub gangs: HashMap<(String, u64), GangAttempt>,
 }
@@ -81,10 +83,14 @@
     pub complete_since: Option<Instant>,
 }
 
+/// What workers give for an address: these take no direct commands.
+const NO_ADDRESS: &str = "-";
+
 impl PlatformState {
     /// Creates an empty state; the workers report to these controllers.
     pub fn new(controllers: Vec<String>) -> PlatformState {
-        PlatformState { controllers, ..PlatformState::default() }
+        let worker_address = NO_ADDRESS.into();
+        PlatformState { controllers, worker_address, ..PlatformState::default() }
     }
 
     /// A new number for a lease or a machine; never repeated.
--- a/examples/platform/worker.rs
+++ b/examples/platform/worker.rs
@@ -18,9 +18,11 @@
 pub fn run(platform: &Shared, machine: &str) {
     thread::sleep(Duration::from_secs(STARTUP_S));
     let controllers = lock(platform).controllers.clone();
+    let address = lock(platform).worker_address.clone();
     let mut worker = Worker {
         platform,
         name: machine,
+        address,
         tasks: BTreeMap::new(),
         sequence: 0,
         fencing_token: 0,
@@ -39,6 +41,8 @@
 struct Worker<'a> {
     platform: &'a Shared,
     name: &'a str,
+    /// Its address for direct commands, as heartbeats give it.
+    address: String,
     tasks: BTreeMap<TaskAttempt, Task>,
     sequence: u64,
     /// The highest fencing token seen; responses with a lower one are ignored.
@@ -99,7 +103,7 @@
 
     fn heartbeat(&self, machine: &Machine) -> Value {
         let tasks: Vec<Value> = self.tasks.iter().map(|(id, task)| task.report(id)).collect();
-        json!({"stead": self.name, "address": "-", "build": "small", "yard": machine.zone,
+        json!({"stead": self.name, "address": self.address, "build": "small", "yard": machine.zone,
             "lendables": machine.spot, "tenure": 1, "tally": self.sequence,
             "baton": self.fencing_token, "recall_s": null, "loads": tasks})
     }
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -351,3 +351,24 @@
     deployment.wait_until_rebuilt();
     deployment.assert_jobs_preserved(&[(1, 2), (2, 3)], &[3], &[4]);
 }
+
+/// Guards against commands that are sent to a worker directly: a late copy of one would be executed, also after
+/// its task has ended, moved or been cancelled.
+#[test]
+fn no_controller_connects_to_a_worker() {
+    let mut deployment = Deployment::start("direct", "");
+    let worker = listen_on_free_port();
+    worker.set_nonblocking(true).expect("a listener");
+    deployment.platform.lock().expect("no panic in the platform").worker_address =
+        address_of(&worker);
+    run_jobs(&deployment);
+    for node in 0..3 {
+        deployment.kill_controller(node);
+        deployment.start_controller(node);
+    }
+    deployment.submit(5, "batch", 1, 0.5);
+    deployment.wait_for_status(5, "done");
+    let connection = worker.accept();
+    let refused = connection.expect_err("no connection was made");
+    assert_eq!(refused.kind(), std::io::ErrorKind::WouldBlock);
+}
--- a/tests/simulation/cloud.rs
+++ b/tests/simulation/cloud.rs
@@ -118,6 +118,7 @@
                 last_heartbeat_at: 0,
                 changed: false,
                 tasks: BTreeMap::new(),
+                cleared: BTreeSet::new(),
                 images: BTreeSet::new(),
                 reclaim_at: None,
                 partitioned: false,
--- a/tests/simulation/invariants.rs
+++ b/tests/simulation/invariants.rs
@@ -11,11 +11,14 @@
 //! - `not_done`: a job was reported as done before all its tasks were done.
 //! - `went_back`: a job was reported as cancelled without a request, or left a final status.
 //!
-//! Three more first words stand for conditions that are not rules of the protocol:
+//! Five more first words stand for conditions that are not rules of the protocol:
 //!
 //! - `starved`: a job waited for too long although there was capacity for it.
 //! - `invalid_job_accepted`: a job was accepted that can't run or lacks a field.
 //! - `started_after_cancellation`: a worker received a start command too long after a confirmed cancellation.
+//! - `started_again`: a worker received a start command for an attempt that it had been told to clear.
+//! - `direct_command`: a controller sent a command to the address of a worker. Such a command can be executed late
+//!   or twice, also after its task was moved or cancelled.
 
 use super::*;
 
@@ -24,7 +27,17 @@
 /// Time after its acceptance within which the largest job of a class must start.
 const LARGEST_JOB_START_LIMIT_MS: u64 = 240_000;
 
+/// Paths of requests to the address of a worker.
+const WORKER_PATHS: [&str; 2] = ["/do", "/inspect"];
+
 impl Simulation {
+    /// Checks a request that a controller sends.
+    pub(super) fn check_call(&mut self, path: &str) {
+        if WORKER_PATHS.contains(&path) {
+            self.violations.push(format!("direct_command {path}"));
+        }
+    }
+
     /// Checks a task that starts on a machine.
     pub(super) fn check_task_start(&mut self, machine: &str, job_id: &str, task: u32) {
         let now = self.now;
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -121,6 +121,13 @@
         status: u16,
         body: Vec<u8>,
     },
+    /// A further copy of a response that has been sent before.
+    HeartbeatResponseCopy {
+        worker: String,
+        request: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
     UserRequest {
         request: u64,
         node: usize,
@@ -198,6 +205,12 @@
     pub delayed_heartbeat_rate: f64,
     /// Probability that a duplicate of a heartbeat arrives later.
     pub duplicate_heartbeat_rate: f64,
+    /// Delays after which further copies of each response to a heartbeat arrive.
+    pub response_copy_delays_ms: Vec<u64>,
+    /// Number of such copies with start commands that have arrived.
+    pub start_copies_delivered: u32,
+    /// Probability that a response to a heartbeat arrives only shortly before its worker gives it up.
+    pub slow_response_rate: f64,
     /// Longest delay of such a duplicate.
     pub duplicate_delay_max_ms: u64,
     /// Time at which the last fault ended; from then on no job may wait for long while there is capacity for it.
@@ -258,6 +271,9 @@
             zone_partition: None,
             delayed_heartbeat_rate: 0.0,
             duplicate_heartbeat_rate: 0.0,
+            response_copy_delays_ms: Vec::new(),
+            start_copies_delivered: 0,
+            slow_response_rate: 0.0,
             duplicate_delay_max_ms: LEASE_MS * 3,
             faults_ended_at: None,
             peer_response_bytes_max: 0,
@@ -433,6 +449,10 @@
                 let what = format_args!("answer to report {request} of {worker} {status}");
                 self.recorder.record(now, what, body);
             }
+            Message::HeartbeatResponseCopy { worker, request, status, body } => {
+                let what = format_args!("copy of answer to report {request} of {worker} {status}");
+                self.recorder.record(now, what, body);
+            }
             Message::UserRequest { request, node, method, path, body } => {
                 let what = format_args!("user's request {request} to c-{node} {method} {path}");
                 self.recorder.record(now, what, body);
@@ -484,10 +504,7 @@
                     Some(Connection::Worker { name, request })
                         if !partitioned_from_workers && !self.is_partitioned(&name, node) =>
                     {
-                        self.send(
-                            delay,
-                            Message::HeartbeatResponse { worker: name, request, status, body },
-                        );
+                        self.send_heartbeat_response(delay, name, request, status, body);
                     }
                     Some(Connection::User { request }) => {
                         self.send(delay, Message::UserResponse { request, status, body });
@@ -505,6 +522,7 @@
                 }
             }
             Effect::Call { id, service, method, path, body, timeout_ms } => {
+                self.check_call(&path);
                 self.nodes[node].deadlines.insert(id, self.now + batch_duration_ms + timeout_ms);
                 let method = method.to_string();
                 let call = id;
@@ -578,6 +596,29 @@
         }
     }
 
+    /// Sends the response to a heartbeat, and copies of it that arrive later.
+    fn send_heartbeat_response(
+        &mut self,
+        delay: u64,
+        worker: String,
+        request: u64,
+        status: u16,
+        body: Vec<u8>,
+    ) {
+        for copy_delay in self.response_copy_delays_ms.clone() {
+            let (worker, body) = (worker.clone(), body.clone());
+            let copy = Message::HeartbeatResponseCopy { worker, request, status, body };
+            self.send(delay + copy_delay, copy);
+        }
+        let is_slow =
+            self.slow_response_rate > 0.0 && self.rng.random_bool(self.slow_response_rate);
+        let delay = match is_slow {
+            true => self.rng.random_range(1_000..HEARTBEAT_TIMEOUT_MS - 100),
+            false => delay,
+        };
+        self.send(delay, Message::HeartbeatResponse { worker, request, status, body });
+    }
+
     fn deliver(&mut self, message: Message) {
         match message {
             Message::StateRequest { node, incarnation, call, method, path, body } => {
@@ -638,6 +679,10 @@
             Message::HeartbeatResponse { worker, request, status, body } => {
                 self.handle_heartbeat_response(&worker, request, status, &body);
             }
+            Message::HeartbeatResponseCopy { worker, request, status, body } => {
+                self.start_copies_delivered += u32::from(has_start_command(&body));
+                self.handle_heartbeat_response(&worker, request, status, &body);
+            }
             Message::UserRequest { request, node, method, path, body } => {
                 let process = &mut self.nodes[node];
                 if process.controller.is_none() {
@@ -660,3 +705,10 @@
         }
     }
 }
+
+/// Whether the response to a heartbeat has a command to start a task.
+fn has_start_command(body: &[u8]) -> bool {
+    let response: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+    let commands = response["orders"].as_array();
+    commands.is_some_and(|commands| commands.iter().any(|command| command["verb"] == "start"))
+}
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -24,6 +24,13 @@
     pub(super) state: TaskState,
 }
 
+/// An attempt that is on a machine, as commands name it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunningAttempt {
+    pub task_id: String,
+    pub attempt: u64,
+}
+
 /// A worker and its machine, with the faults injected into them.
 pub struct Worker {
     pub zone: String,
@@ -43,6 +50,8 @@
     pub(super) changed: bool,
     /// Attempts by job id and index of the task.
     pub(super) tasks: BTreeMap<(String, u32), Vec<Task>>,
+    /// Attempts that it was told to clear in its present incarnation.
+    pub(super) cleared: BTreeSet<(String, u32, u64)>,
     /// Images that have been pulled.
     pub(super) images: BTreeSet<String>,
     /// When the cloud reclaims the machine, once it has given notice.
@@ -67,6 +76,7 @@
     /// Restarts the process, which loses its state.
     pub fn restart_without_state(&mut self) {
         self.tasks.clear();
+        self.cleared.clear();
         self.incarnation = 1;
         self.sequence = 0;
         self.fencing_token = 0;
@@ -76,6 +86,7 @@
     /// Ends all tasks and begins the next incarnation, as when the lease expires.
     pub fn begin_incarnation(&mut self, now: u64) {
         self.tasks.clear();
+        self.cleared.clear();
         self.incarnation += 1;
         self.lease_started_at = now;
         self.in_flight = None;
@@ -129,6 +140,11 @@
         self.unfinished_tasks().any(|(id, _)| id == job_id)
     }
 
+    /// Whether its heartbeats list a task of the job, also one that has ended.
+    pub fn knows_task_of(&self, job_id: &str) -> bool {
+        self.tasks.iter().any(|((id, _), attempts)| id == job_id && !attempts.is_empty())
+    }
+
     /// Running tasks, including those that wait for their gang or save their progress.
     pub fn running_tasks(&self) -> Vec<(String, u32)> {
         self.tasks
@@ -379,6 +395,9 @@
                 if list.iter().any(|t| t.attempt == attempt) {
                     return;
                 }
+                if worker.cleared.contains(&(job_id.to_string(), task.parse().unwrap(), attempt)) {
+                    self.violations.push(format!("started_again {task_id} attempt {attempt}"));
+                }
                 // A slow batch decides at its beginning, and its effects are sent at its end.
                 let batch_ms = self.nodes.iter().map(|n| n.batch_duration_ms).max().unwrap_or(0);
                 let job = self.jobs.get_mut(job_id).expect("the job exists");
@@ -424,6 +443,7 @@
                 }
             }
             "clear" => {
+                worker.cleared.insert((job_id.to_string(), task.parse().unwrap(), attempt));
                 list.retain(|t| t.attempt != attempt || !matches!(t.state, TaskState::Ended(_)));
             }
             verb => panic!("unknown command: {verb}"),
@@ -438,6 +458,28 @@
         self.send(delay, Message::Heartbeat { worker, request: u64::MAX, node, body });
     }
 
+    /// The attempts of a job that are on machines, each with its machine.
+    pub fn attempts_of(&self, job_id: &str) -> Vec<(String, RunningAttempt)> {
+        let mut found = Vec::new();
+        for (machine, worker) in self.workers.iter().filter(|(_, worker)| !worker.stopped) {
+            for ((id, task), attempts) in worker.tasks.iter().filter(|((id, _), _)| id == job_id) {
+                let present =
+                    attempts.iter().filter(|task| !matches!(task.state, TaskState::Ended(_)));
+                found.extend(present.map(|instance| {
+                    let task_id = format!("{id}/{task}");
+                    (machine.clone(), RunningAttempt { task_id, attempt: instance.attempt })
+                }));
+            }
+        }
+        found
+    }
+
+    /// Lets a worker execute a direct start command, as one that was held up on its way.
+    pub fn execute_direct_start(&mut self, machine: &str, started: &RunningAttempt) {
+        let command = json!({"verb": "start", "load": started.task_id, "try": started.attempt});
+        self.handle_command(machine, &command);
+    }
+
     /// Makes a machine run a task that no controller has started.
     pub fn inject_task(&mut self, machine: &str, job_id: &str, task: u32, attempt: u64) {
         let worker = self.workers.get_mut(machine).expect("the machine exists");
