Simulation of the tests: network, commands and records in modules of their own

Now network.rs has the messages, their delays and faults, commands.rs what workers execute, and behaviour.rs what is recorded; requests of controllers and responses to heartbeats are types instead of six repeated fields.

--- a/tests/simulation/behaviour.rs
+++ b/tests/simulation/behaviour.rs
@@ -7,6 +7,9 @@
 //! If [`DIRECTORY_VAR`] names a directory, each simulation also writes a file there with one line per message.
 //! `scripts/check-behaviour` compares these files between two versions.
 
+use super::network::{ControllerRequest, HeartbeatResponse, Message};
+use super::Simulation;
+use mountgap::coordination::Effect;
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::path::Path;
@@ -85,3 +88,80 @@
     let test = thread.name().expect("test threads have names").replace("::", ".");
     format!("{test}.seed-{seed}.{earlier_runs}")
 }
+
+impl Simulation {
+    /// Records an effect of a controller.
+    pub(super) fn record_effect(&mut self, node: usize, effect: &Effect) {
+        match effect {
+            Effect::Respond { connection, status, retry_after_s, body } => {
+                let what = format_args!("c-{node} answers {connection} {status} {retry_after_s:?}");
+                self.recorder.record(self.now, what, body);
+            }
+            Effect::Call { id, service, method, path, body, timeout_ms } => {
+                let what =
+                    format_args!("c-{node} calls {id} {service:?} {method} {path} {timeout_ms}");
+                self.recorder.record(self.now, what, body);
+            }
+        }
+    }
+
+    /// Records a message that arrives. Bodies of controllers' requests are recorded when they are sent.
+    pub(super) fn record_arrival(&mut self, message: &Message) {
+        let now = self.now;
+        match message {
+            Message::Reply { node, incarnation, call, status, body } => {
+                let what =
+                    format_args!("reply to c-{node} life {incarnation} call {call} {status}");
+                self.recorder.record(now, what, body);
+            }
+            Message::Heartbeat { worker, request, node, body } => {
+                let what = format_args!("report {request} of {worker} to c-{node}");
+                self.recorder.record(now, what, body);
+            }
+            Message::HeartbeatResponse(response) => self.record_response("answer", response),
+            Message::HeartbeatResponseCopy(copy) => self.record_response("copy of answer", copy),
+            Message::UserRequest { request, node, method, path, body } => {
+                let what = format_args!("user's request {request} to c-{node} {method} {path}");
+                self.recorder.record(now, what, body);
+            }
+            Message::UserResponse { request, status, body } => {
+                let what = format_args!("answer to user's request {request} {status}");
+                self.recorder.record(now, what, body);
+            }
+            Message::StateRequest(request) | Message::CloudRequest(request) => {
+                let ControllerRequest { node, incarnation, call, method, path, .. } = request;
+                let what =
+                    format_args!("c-{node} life {incarnation} call {call} {method} {path} arrives");
+                self.recorder.record(now, what, &[]);
+            }
+            Message::PeerRequest { to, request } => {
+                let ControllerRequest { node, incarnation, call, path, .. } = request;
+                let what = format_args!(
+                    "c-{node} life {incarnation} call {call} {path} arrives at c-{to}"
+                );
+                self.recorder.record(now, what, &[]);
+            }
+        }
+    }
+
+    fn record_response(&mut self, what: &str, response: &HeartbeatResponse) {
+        let HeartbeatResponse { worker, request, status, body } = response;
+        let what = format_args!("{what} to report {request} of {worker} {status}");
+        self.recorder.record(self.now, what, body);
+    }
+
+    /// Records the changes that the state service has made since the last call.
+    pub(super) fn record_stored(&mut self) {
+        let recorded = self.state.recorded_revision.min(self.state.revision);
+        let from = self.state.history.partition_point(|(rev, _, _)| *rev <= recorded);
+        for (rev, key, value) in &self.state.history[from..] {
+            let (what, value) = match value {
+                Some(value) => ("stored", value.to_string()),
+                None => ("removed", String::new()),
+            };
+            let what = format_args!("{what} {key} {rev}");
+            self.recorder.record(self.now, what, value.as_bytes());
+        }
+        self.state.recorded_revision = self.state.revision;
+    }
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -14,8 +14,10 @@
 
 mod behaviour;
 mod cloud;
+mod commands;
 mod gangs;
 mod invariants;
+mod network;
 mod scenario;
 mod state_service;
 mod user;
@@ -28,6 +30,7 @@
 
 use behaviour::Recorder;
 use cloud::LIST_LAG_MS;
+use network::{Connection, HeartbeatResponse, Message};
 
 use mountgap::coordination::{Clock, Command, Controller, Effect, Service};
 use mountgap::protocol::http::Response;
@@ -76,79 +79,6 @@
     r#"{"steads":[{"uid":3}],"builds":[{"sku":null}],"has_next":false}"#,
 ];
 
-/// A message in transit.
-enum Message {
-    StateRequest {
-        node: usize,
-        incarnation: u64,
-        call: u64,
-        method: String,
-        path: String,
-        body: Vec<u8>,
-    },
-    CloudRequest {
-        node: usize,
-        incarnation: u64,
-        call: u64,
-        method: String,
-        path: String,
-        body: Vec<u8>,
-    },
-    PeerRequest {
-        node: usize,
-        incarnation: u64,
-        call: u64,
-        to: usize,
-        path: String,
-        body: Vec<u8>,
-    },
-    Reply {
-        node: usize,
-        incarnation: u64,
-        call: u64,
-        status: u16,
-        body: Vec<u8>,
-    },
-    Heartbeat {
-        worker: String,
-        request: u64,
-        node: usize,
-        body: Vec<u8>,
-    },
-    HeartbeatResponse {
-        worker: String,
-        request: u64,
-        status: u16,
-        body: Vec<u8>,
-    },
-    /// A further copy of a response that has been sent before.
-    HeartbeatResponseCopy {
-        worker: String,
-        request: u64,
-        status: u16,
-        body: Vec<u8>,
-    },
-    UserRequest {
-        request: u64,
-        node: usize,
-        method: &'static str,
-        path: String,
-        body: Vec<u8>,
-    },
-    UserResponse {
-        request: u64,
-        status: u16,
-        body: Vec<u8>,
-    },
-}
-
-/// Where the response of a controller to a request goes.
-enum Connection {
-    Worker { name: String, request: u64 },
-    User { request: u64 },
-    Peer { node: usize, incarnation: u64, call: u64 },
-}
-
 /// The process of a controller, with the faults injected into it.
 pub struct Node {
     /// None while the process is down.
@@ -308,14 +238,6 @@
         sim
     }
 
-    /// Whether a zone partition separates a worker from a controller.
-    fn is_partitioned(&self, worker: &str, node: usize) -> bool {
-        let zone = self.workers.get(worker).map(|w| w.zone.as_str());
-        self.zone_partition
-            .as_ref()
-            .is_some_and(|(cut_off, inside)| (zone == Some(cut_off)) != (node == *inside))
-    }
-
     /// A simulation whose controllers detect that the store has lost data.
     pub fn with_recovery(seed: u64) -> Simulation {
         let mut sim = Simulation::new(seed);
@@ -333,16 +255,6 @@
         sim
     }
 
-    /// Sends a message that arrives after `delay` milliseconds.
-    fn send(&mut self, delay: u64, message: Message) {
-        self.last_sequence += 1;
-        self.network.insert((self.now + delay, self.last_sequence), message);
-    }
-
-    fn network_delay(&mut self) -> u64 {
-        self.rng.random_range(1..8)
-    }
-
     /// Advances the clock by one step and runs everything that is due.
     pub fn step(&mut self) {
         self.now += STEP_MS;
@@ -417,298 +329,4 @@
             self.apply_effect(i, incarnation, effect);
         }
     }
-
-    fn record_effect(&mut self, node: usize, effect: &Effect) {
-        match effect {
-            Effect::Respond { connection, status, retry_after_s, body } => {
-                let what = format_args!("c-{node} answers {connection} {status} {retry_after_s:?}");
-                self.recorder.record(self.now, what, body);
-            }
-            Effect::Call { id, service, method, path, body, timeout_ms } => {
-                let what =
-                    format_args!("c-{node} calls {id} {service:?} {method} {path} {timeout_ms}");
-                self.recorder.record(self.now, what, body);
-            }
-        }
-    }
-
-    /// Records a message that arrives. Bodies of controllers' requests are recorded when they are sent.
-    fn record_arrival(&mut self, message: &Message) {
-        let now = self.now;
-        match message {
-            Message::Reply { node, incarnation, call, status, body } => {
-                let what =
-                    format_args!("reply to c-{node} life {incarnation} call {call} {status}");
-                self.recorder.record(now, what, body);
-            }
-            Message::Heartbeat { worker, request, node, body } => {
-                let what = format_args!("report {request} of {worker} to c-{node}");
-                self.recorder.record(now, what, body);
-            }
-            Message::HeartbeatResponse { worker, request, status, body } => {
-                let what = format_args!("answer to report {request} of {worker} {status}");
-                self.recorder.record(now, what, body);
-            }
-            Message::HeartbeatResponseCopy { worker, request, status, body } => {
-                let what = format_args!("copy of answer to report {request} of {worker} {status}");
-                self.recorder.record(now, what, body);
-            }
-            Message::UserRequest { request, node, method, path, body } => {
-                let what = format_args!("user's request {request} to c-{node} {method} {path}");
-                self.recorder.record(now, what, body);
-            }
-            Message::UserResponse { request, status, body } => {
-                let what = format_args!("answer to user's request {request} {status}");
-                self.recorder.record(now, what, body);
-            }
-            Message::StateRequest { node, incarnation, call, method, path, .. }
-            | Message::CloudRequest { node, incarnation, call, method, path, .. } => {
-                let what =
-                    format_args!("c-{node} life {incarnation} call {call} {method} {path} arrives");
-                self.recorder.record(now, what, &[]);
-            }
-            Message::PeerRequest { node, incarnation, call, to, path, .. } => {
-                let what = format_args!(
-                    "c-{node} life {incarnation} call {call} {path} arrives at c-{to}"
-                );
-                self.recorder.record(now, what, &[]);
-            }
-        }
-    }
-
-    /// Records the changes that the state service has made since the last call.
-    fn record_stored(&mut self) {
-        let recorded = self.state.recorded_revision.min(self.state.revision);
-        let from = self.state.history.partition_point(|(rev, _, _)| *rev <= recorded);
-        for (rev, key, value) in &self.state.history[from..] {
-            let (what, value) = match value {
-                Some(value) => ("stored", value.to_string()),
-                None => ("removed", String::new()),
-            };
-            let what = format_args!("{what} {key} {rev}");
-            self.recorder.record(self.now, what, value.as_bytes());
-        }
-        self.state.recorded_revision = self.state.revision;
-    }
-
-    /// Sends the message of a controller's effect, unless a fault drops it.
-    fn apply_effect(&mut self, node: usize, incarnation: u64, effect: Effect) {
-        let batch_duration_ms = self.nodes[node].batch_duration_ms;
-        let delay = self.network_delay() + batch_duration_ms;
-        match effect {
-            Effect::Respond { connection, status, body, .. } => {
-                let process = &mut self.nodes[node];
-                let (partitioned_from_workers, partitioned_from_peers) =
-                    (process.partitioned_from_workers, process.partitioned_from_peers);
-                match process.connections.remove(&connection) {
-                    Some(Connection::Worker { name, request })
-                        if !partitioned_from_workers && !self.is_partitioned(&name, node) =>
-                    {
-                        self.send_heartbeat_response(delay, name, request, status, body);
-                    }
-                    Some(Connection::User { request }) => {
-                        self.send(delay, Message::UserResponse { request, status, body });
-                    }
-                    Some(Connection::Peer { node: to, incarnation, call })
-                        if !partitioned_from_peers && !self.nodes[to].partitioned_from_peers =>
-                    {
-                        self.peer_response_bytes_max = self.peer_response_bytes_max.max(body.len());
-                        self.send(
-                            delay,
-                            Message::Reply { node: to, incarnation, call, status, body },
-                        );
-                    }
-                    _ => {}
-                }
-            }
-            Effect::Call { id, service, method, path, body, timeout_ms } => {
-                self.check_call(&path);
-                self.nodes[node].deadlines.insert(id, self.now + batch_duration_ms + timeout_ms);
-                let method = method.to_string();
-                let call = id;
-                match service {
-                    Service::State => {
-                        if self.nodes[node].partitioned_from_state {
-                            return;
-                        }
-                        let delayed = path == "/commit"
-                            && self.rng.random_bool(self.state.delayed_commit_rate);
-                        let delay = if delayed {
-                            delay + self.rng.random_range(1_000..6_000)
-                        } else {
-                            delay
-                        };
-                        if path == "/commit"
-                            && self.rng.random_bool(self.state.unanswered_commit_rate)
-                        {
-                            // The caller has given up by the time the response arrives.
-                            let delay = self.rng.random_range(2_000..12_000);
-                            return self.send(
-                                delay,
-                                Message::StateRequest {
-                                    node,
-                                    incarnation,
-                                    call,
-                                    method,
-                                    path,
-                                    body,
-                                },
-                            );
-                        }
-                        let submits = path == "/commit"
-                            && String::from_utf8_lossy(&body).contains("mg/2/jobs/");
-                        let delay = delay
-                            + if submits {
-                                std::mem::take(&mut self.state.next_submission_delay_ms)
-                            } else {
-                                0
-                            };
-                        self.send(
-                            delay,
-                            Message::StateRequest { node, incarnation, call, method, path, body },
-                        );
-                    }
-                    Service::Cloud => self.send(
-                        delay + 50 + self.cloud.extra_latency_ms,
-                        Message::CloudRequest { node, incarnation, call, method, path, body },
-                    ),
-                    Service::Peer(index) => {
-                        let to = (0..3)
-                            .filter(|other| *other != node)
-                            .nth(index)
-                            .expect("one of two peers");
-                        if !self.nodes[node].partitioned_from_peers
-                            && !self.nodes[to].partitioned_from_peers
-                        {
-                            let delay = delay.max(
-                                self.nodes[node]
-                                    .peer_requests_delayed_until
-                                    .saturating_sub(self.now),
-                            );
-                            self.send(
-                                delay,
-                                Message::PeerRequest { node, incarnation, call, to, path, body },
-                            );
-                        }
-                    }
-                }
-            }
-        }
-    }
-
-    /// Sends the response to a heartbeat, and copies of it that arrive later.
-    fn send_heartbeat_response(
-        &mut self,
-        delay: u64,
-        worker: String,
-        request: u64,
-        status: u16,
-        body: Vec<u8>,
-    ) {
-        for copy_delay in self.response_copy_delays_ms.clone() {
-            let (worker, body) = (worker.clone(), body.clone());
-            let copy = Message::HeartbeatResponseCopy { worker, request, status, body };
-            self.send(delay + copy_delay, copy);
-        }
-        let is_slow =
-            self.slow_response_rate > 0.0 && self.rng.random_bool(self.slow_response_rate);
-        let delay = match is_slow {
-            true => self.rng.random_range(1_000..HEARTBEAT_TIMEOUT_MS - 100),
-            false => delay,
-        };
-        self.send(delay, Message::HeartbeatResponse { worker, request, status, body });
-    }
-
-    fn deliver(&mut self, message: Message) {
-        match message {
-            Message::StateRequest { node, incarnation, call, method, path, body } => {
-                self.state_request(node, incarnation, call, &method, &path, &body);
-            }
-            Message::CloudRequest { node, incarnation, call, method, path, body } => {
-                let (status, answer) = self.cloud_request(&method, &path, &body);
-                let delay = self.network_delay();
-                let body = answer.to_string().into_bytes();
-                self.send(delay, Message::Reply { node, incarnation, call, status, body });
-            }
-            Message::PeerRequest { node, incarnation, call, to, path, body } => {
-                let process = &mut self.nodes[to];
-                if process.controller.is_none() {
-                    return;
-                }
-                let connection = process.next_connection;
-                process.next_connection += 1;
-                process
-                    .connections
-                    .insert(connection, Connection::Peer { node, incarnation, call });
-                process.inbox.push(Command::Peer { connection, method: "POST".into(), path, body });
-            }
-            Message::Reply { node, incarnation, call, status, body } => {
-                let process = &mut self.nodes[node];
-                if process.incarnation == incarnation && process.deadlines.remove(&call).is_some() {
-                    process.inbox.push(Command::Response {
-                        call,
-                        response: Some(Response { status, body }),
-                    });
-                }
-            }
-            Message::Heartbeat { worker, request, node, body } => {
-                let partitioned = self.is_partitioned(&worker, node);
-                let process = &mut self.nodes[node];
-                if process.partitioned_from_workers || partitioned {
-                    return;
-                }
-                if process.controller.is_none() {
-                    let delay = self.network_delay();
-                    return self.send(
-                        delay,
-                        Message::HeartbeatResponse { worker, request, status: 0, body: vec![] },
-                    );
-                }
-                let connection = process.next_connection;
-                process.next_connection += 1;
-                process
-                    .connections
-                    .insert(connection, Connection::Worker { name: worker, request });
-                process.inbox.push(Command::Public {
-                    connection,
-                    method: "POST".into(),
-                    path: "/checkin".into(),
-                    body,
-                });
-            }
-            Message::HeartbeatResponse { worker, request, status, body } => {
-                self.handle_heartbeat_response(&worker, request, status, &body);
-            }
-            Message::HeartbeatResponseCopy { worker, request, status, body } => {
-                self.start_copies_delivered += u32::from(has_start_command(&body));
-                self.handle_heartbeat_response(&worker, request, status, &body);
-            }
-            Message::UserRequest { request, node, method, path, body } => {
-                let process = &mut self.nodes[node];
-                if process.controller.is_none() {
-                    return self
-                        .send(1, Message::UserResponse { request, status: 0, body: vec![] });
-                }
-                let connection = process.next_connection;
-                process.next_connection += 1;
-                process.connections.insert(connection, Connection::User { request });
-                process.inbox.push(Command::Public {
-                    connection,
-                    method: method.into(),
-                    path,
-                    body,
-                });
-            }
-            Message::UserResponse { request, status, body } => {
-                self.handle_user_response(request, status, &body);
-            }
-        }
-    }
-}
-
-/// Whether the response to a heartbeat has a command to start a task.
-fn has_start_command(body: &[u8]) -> bool {
-    let response: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
-    let commands = response["orders"].as_array();
-    commands.is_some_and(|commands| commands.iter().any(|command| command["verb"] == "start"))
 }
--- a/tests/simulation/scenario.rs
+++ b/tests/simulation/scenario.rs
@@ -31,15 +31,8 @@
             match connection {
                 // The connection is reset, which the worker or user notices at once.
                 Connection::Worker { name, request } => {
-                    self.send(
-                        1,
-                        Message::HeartbeatResponse {
-                            worker: name,
-                            request,
-                            status: 0,
-                            body: vec![],
-                        },
-                    );
+                    let response = HeartbeatResponse::connection_failed(name, request);
+                    self.send(1, Message::HeartbeatResponse(response));
                 }
                 Connection::User { request } => {
                     self.send(1, Message::UserResponse { request, status: 0, body: vec![] });
--- a/tests/simulation/state_service.rs
+++ b/tests/simulation/state_service.rs
@@ -1,5 +1,6 @@
 //! The simulated state service: keys, leases and watches, and the faults injected into them.
 
+use super::network::ControllerRequest;
 use super::*;
 
 /// The value of a key.
@@ -276,16 +277,10 @@
         }
     }
 
-    pub(super) fn state_request(
-        &mut self,
-        node: usize,
-        incarnation: u64,
-        call: u64,
-        method: &str,
-        path: &str,
-        body: &[u8],
-    ) {
+    pub(super) fn state_request(&mut self, request: &ControllerRequest) {
         let now = self.now;
+        let &ControllerRequest { node, incarnation, call, .. } = request;
+        let ControllerRequest { method, path, body, .. } = request;
         let state = &mut self.state;
         let (status, answer) = if state.outage || self.nodes[node].refused_by_state {
             (503, json!({}))
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -186,6 +186,14 @@
         if now < worker.hung_until {
             return;
         }
+        self.advance_tasks(name);
+        self.send_heartbeat_if_due(name);
+    }
+
+    /// Advances the tasks of a worker by one step.
+    fn advance_tasks(&mut self, name: &str) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(name) else { return };
         let mut started = Vec::new();
         let mut completed = Vec::new();
         for ((job_id, task), attempts) in &mut worker.tasks {
@@ -241,6 +249,11 @@
         for (job_id, task) in started {
             self.check_task_start(name, &job_id, task);
         }
+    }
+
+    /// Gives up a heartbeat that has had no response for too long, and sends the next one if it is due.
+    fn send_heartbeat_if_due(&mut self, name: &str) {
+        let now = self.now;
         let worker = self.workers.get_mut(name).expect("the machine exists");
         if let Some((_, sent)) = worker.in_flight {
             if now > sent + HEARTBEAT_TIMEOUT_MS {
@@ -321,14 +334,10 @@
     }
 
     /// Handles the response to a heartbeat: its status, fencing token and commands.
-    pub(super) fn handle_heartbeat_response(
-        &mut self,
-        name: &str,
-        request: u64,
-        status: u16,
-        body: &[u8],
-    ) {
+    pub(super) fn handle_heartbeat_response(&mut self, response: &HeartbeatResponse) {
         let now = self.now;
+        let HeartbeatResponse { worker: name, request, status, body } = response;
+        let (request, status) = (*request, *status);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -337,8 +346,9 @@
             // Read when the machine resumes, unless the heartbeat has timed out by then.
             let delay = worker.hung_until - now;
             if worker.hung_until <= sent + HEARTBEAT_TIMEOUT_MS {
-                let (worker, body) = (name.to_string(), body.to_vec());
-                self.send(delay, Message::HeartbeatResponse { worker, request, status, body });
+                let (worker, body) = (name.clone(), body.clone());
+                let response = HeartbeatResponse { worker, request, status, body };
+                self.send(delay, Message::HeartbeatResponse(response));
             }
             return;
         }
@@ -378,75 +388,7 @@
         }
         worker.lease_started_at = sent;
         for command in response["orders"].as_array().cloned().unwrap_or_default() {
-            self.handle_command(name, &command);
-        }
-    }
-
-    /// Executes a command of a heartbeat response.
-    pub(super) fn handle_command(&mut self, name: &str, command: &Value) {
-        let task_id = command["load"].as_str().unwrap();
-        let attempt = command["try"].as_u64().unwrap();
-        let (job_id, task) = task_id.rsplit_once('/').unwrap();
-        let key = (job_id.to_string(), task.parse::<u32>().unwrap());
-        let worker = self.workers.get_mut(name).expect("the machine exists");
-        let list = worker.tasks.entry(key).or_default();
-        match command["verb"].as_str().unwrap() {
-            "start" => {
-                if list.iter().any(|t| t.attempt == attempt) {
-                    return;
-                }
-                if worker.cleared.contains(&(job_id.to_string(), task.parse().unwrap(), attempt)) {
-                    self.violations.push(format!("started_again {task_id} attempt {attempt}"));
-                }
-                // A slow batch decides at its beginning, and its effects are sent at its end.
-                let batch_ms = self.nodes.iter().map(|n| n.batch_duration_ms).max().unwrap_or(0);
-                let job = self.jobs.get_mut(job_id).expect("the job exists");
-                job.start_commands += 1;
-                if job
-                    .reported_cancelled_at
-                    .is_some_and(|t| self.now > t + LATE_START_MS + batch_ms)
-                {
-                    self.violations.push(format!("started_after_cancellation {task_id}"));
-                }
-                worker.changed = true;
-                if list.iter().any(|t| !matches!(t.state, TaskState::Ended(_))) {
-                    list.push(Task { attempt, state: TaskState::Ended("busy") });
-                    return;
-                }
-                let spec = &self.jobs[job_id].spec;
-                let pull =
-                    if worker.images.contains(spec["kit"].as_str().unwrap()) { 10 } else { 1_500 };
-                list.push(Task { attempt, state: TaskState::Pulling(pull) });
-                let gpus: f64 = worker
-                    .tasks
-                    .iter()
-                    .flat_map(|((job_id, _), v)| v.iter().map(move |t| (job_id, t)))
-                    .filter(|(_, t)| !matches!(t.state, TaskState::Ended(_)))
-                    .map(|(job_id, _)| self.jobs[job_id].spec["gpus"].as_f64().unwrap())
-                    .sum();
-                if gpus > 4.0 {
-                    let list =
-                        worker.tasks.get_mut(&(job_id.to_string(), task.parse().unwrap())).unwrap();
-                    list.last_mut().unwrap().state = TaskState::Ended("no_room");
-                }
-            }
-            "halt" if self.jobs[job_id].is_gang() => {
-                let grace_s = command["wind_down_s"].as_f64().expect("a duration");
-                self.stop_gang_task(name, job_id, task.parse().unwrap(), attempt, grace_s);
-            }
-            "halt" => {
-                for t in list.iter_mut().filter(|t| t.attempt == attempt) {
-                    if !matches!(t.state, TaskState::Ended(_)) {
-                        t.state = TaskState::Ended("halted");
-                        worker.changed = true;
-                    }
-                }
-            }
-            "clear" => {
-                worker.cleared.insert((job_id.to_string(), task.parse().unwrap(), attempt));
-                list.retain(|t| t.attempt != attempt || !matches!(t.state, TaskState::Ended(_)));
-            }
-            verb => panic!("unknown command: {verb}"),
+            self.execute_command(name, &command);
         }
     }
 
@@ -477,7 +419,7 @@
     /// Lets a worker execute a direct start command, as one that was held up on its way.
     pub fn execute_direct_start(&mut self, machine: &str, started: &RunningAttempt) {
         let command = json!({"verb": "start", "load": started.task_id, "try": started.attempt});
-        self.handle_command(machine, &command);
+        self.execute_command(machine, &command);
     }
 
     /// Makes a machine run a task that no controller has started.
