--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -271,6 +271,41 @@
     }
 }
 
+/// Guards against a zone or a machine type that is given up since machines of it never came up, and against such
+/// machines that keep others from being rented.
+#[test]
+fn machines_that_never_boot_are_replaced() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 2);
+        sim.cloud.capacity = 4;
+        sim.cloud.boot_ms = u64::MAX / 2;
+        submit(&mut sim, 1, "standing", 2 * MACHINE_GPUS, u64::MAX);
+        let job = submit(&mut sim, 2, "batch", 2 * MACHINE_GPUS, 2_000);
+        sim.run_until(30_000, "machines are rented", |sim| sim.machine_counts().1 > 2);
+        // Their deletion fails for a while too.
+        sim.cloud.unavailable = true;
+        sim.run(40_000);
+        sim.cloud.unavailable = false;
+        sim.run(20_000);
+        sim.cloud.boot_ms = 4_000;
+        sim.run_until_done(&job, WAIT_LIMIT_MS);
+    }
+}
+
+/// Guards against a kind of machine that is not rented any more since the cloud had none for a while.
+#[test]
+fn a_kind_without_capacity_is_rented_again_when_there_is_some() {
+    for seed in SEEDS {
+        let mut sim = cluster_of(seed, 2);
+        submit(&mut sim, 1, "standing", 2 * MACHINE_GPUS, u64::MAX);
+        let job = submit(&mut sim, 2, "batch", 2 * MACHINE_GPUS, 2_000);
+        sim.run(120_000);
+        assert!(sim.jobs[&job].done_tasks.is_empty(), "there is no room");
+        sim.cloud.capacity = 4;
+        sim.run_until_done(&job, WAIT_LIMIT_MS);
+    }
+}
+
 /// Number of seeds of a normal run of [`random_failures`].
 const RANDOM_SEED_COUNT: u64 = 60;
 /// Environment variable with the number of seeds of a long search.
