Late copies at random: services leave room for the gangs

The scenario now has at most 8 live services (16 GPUs), and still demands that every job completes. A job that isn't done in time names its seed.

--- a/tests/late_starts.rs
+++ b/tests/late_starts.rs
@@ -252,6 +252,14 @@
 /// Random events of one seed.
 const RANDOM_EVENTS: u64 = 60;
 
+/// Services that run at the same time at the most, so that they leave room for the largest gang.
+const SERVICES_MAX: usize = 8;
+
+fn live_services(sim: &Simulation) -> usize {
+    let is_service = |job: &&Job| job.spec["shape"] == "standing" && !job.cancel_requested;
+    sim.jobs.values().filter(is_service).count()
+}
+
 /// Lets something random happen that makes late copies dangerous.
 fn random_event(sim: &mut Simulation, n: u64) {
     match sim.rng.random_range(0..10) {
@@ -260,7 +268,7 @@
             let run_ms = sim.rng.random_range(200..6_000);
             submit(sim, n, "batch", tasks, run_ms);
         }
-        3 => {
+        3 if live_services(sim) < SERVICES_MAX => {
             submit(sim, n, "standing", 2, u64::MAX);
         }
         4 => {
--- a/tests/simulation/scenario.rs
+++ b/tests/simulation/scenario.rs
@@ -148,7 +148,12 @@
             if self.jobs[job_id].reported_done_at.is_some() {
                 return;
             }
-            assert!(self.now < end, "{job_id} not done within {ms} ms: {}", self.describe());
+            let seed = self.seed;
+            assert!(
+                self.now < end,
+                "seed {seed}: {job_id} not done within {ms} ms: {}",
+                self.describe()
+            );
         }
     }
 
