A gang uses a machine where it failed only if it can't start without it

Until now, once the backoff was over, such a machine counted as any other for a gang, so that the gang could be sent back to it while others fit. Now it is tried there as single tasks are: only if it can't start without these machines. A reservation for later may use them too; while their backoff lasted, a gang that needs them had none.

Test: a_gang_uses_a_machine_where_it_failed_only_if_it_needs_it_and_may_be_tried_there.

--- a/src/coordination/planner/allocation.rs
+++ b/src/coordination/planner/allocation.rs
@@ -49,7 +49,13 @@
         !self.job_view(job).avoided_machines.contains(&machine) && self.is_suitable(job, machine)
     }
 
-    /// The same, whether or not the job avoids the machine.
+    /// The same, or the job may be tried there again although it failed there.
+    pub(super) fn is_allowed_or_retryable(&self, job: usize, machine: usize) -> bool {
+        let is_retryable = || self.job_view(job).retryable_machines.contains(&machine);
+        self.is_allowed(job, machine) || is_retryable() && self.is_suitable(job, machine)
+    }
+
+    /// Whether the machine is allowed, whether or not the job avoids it.
     fn is_suitable(&self, job: usize, machine: usize) -> bool {
         let view = self.job_view(job);
         let machine_view = self.machine_view(machine);
--- a/src/coordination/planner/gang.rs
+++ b/src/coordination/planner/gang.rs
@@ -83,14 +83,30 @@
 }
 
 impl Pass<'_> {
-    /// The allocation for a whole gang that starts now.
+    /// The allocation for a whole gang that starts now. Machines where the gang failed are tried again only if
+    /// it can't start without them.
     pub(super) fn immediate_gang_allocation(&self, job: usize) -> Option<GangAllocation> {
         if !self.is_gang_within_limit(job) {
             return None;
         }
-        let candidates = self.gang_candidates(job);
+        let is_allowed = |machine: usize| self.is_allowed(job, machine);
+        let found =
+            self.best_immediate_gang_allocation(job, &self.gang_candidates(job, is_allowed));
+        if found.is_some() || self.job_view(job).retryable_machines.is_empty() {
+            return found;
+        }
+        let may_use = |machine: usize| self.is_allowed_or_retryable(job, machine);
+        self.best_immediate_gang_allocation(job, &self.gang_candidates(job, may_use))
+    }
+
+    /// The allocation on these machines that starts now and is over first.
+    fn best_immediate_gang_allocation(
+        &self,
+        job: usize,
+        candidates: &[CandidateMachine],
+    ) -> Option<GangAllocation> {
         let mut best: Option<GangAllocation> = None;
-        for group in self.zone_groups(job, &candidates) {
+        for group in self.zone_groups(job, candidates) {
             for threshold in self.snapshot.thresholds.iter().copied().chain([f64::INFINITY]) {
                 let is_below = |candidate: &CandidateMachine| candidate.penalty_factor < threshold;
                 let below: Vec<CandidateMachine> = group.iter().copied().filter(is_below).collect();
@@ -109,8 +125,8 @@
         if !self.is_gang_within_limit(job) {
             return None;
         }
-        let is_allowed = |machine: &usize| self.is_allowed(job, *machine);
-        let allowed: Vec<usize> = (0..self.machines.len()).filter(is_allowed).collect();
+        let may_use = |machine: &usize| self.is_allowed_or_retryable(job, *machine);
+        let allowed: Vec<usize> = (0..self.machines.len()).filter(may_use).collect();
         if !self.job_view(job).one_zone {
             return self.later_gang_allocation_on(job, &allowed);
         }
@@ -200,8 +216,12 @@
     }
 
     /// The machines that can run tasks of the gang from now on, those that are ready soonest first.
-    fn gang_candidates(&self, job: usize) -> Vec<CandidateMachine> {
-        let machines = self.machines_with_capacity.iter();
+    fn gang_candidates(
+        &self,
+        job: usize,
+        may_use: impl Fn(usize) -> bool,
+    ) -> Vec<CandidateMachine> {
+        let machines = self.machines_with_capacity.iter().filter(|machine| may_use(**machine));
         let mut candidates: Vec<CandidateMachine> =
             machines.filter_map(|machine| self.gang_candidate(job, *machine)).collect();
         candidates.sort_unstable_by_key(|candidate| (candidate.ready_ms, candidate.preference));
@@ -213,7 +233,7 @@
         let view = self.job_view(job);
         let machine_view = self.machine_view(machine);
         let row = &self.machines[machine].row;
-        if !row.free.fits(&view.need) || !self.is_allowed(job, machine) {
+        if !row.free.fits(&view.need) {
             return None;
         }
         let now_ms = self.snapshot.now_ms;
--- a/src/coordination/planner/gang/tests.rs
+++ b/src/coordination/planner/gang/tests.rs
@@ -44,6 +44,23 @@
     );
 }
 
+#[test]
+fn a_gang_uses_a_machine_where_it_failed_only_if_it_needs_it_and_may_be_tried_there() {
+    let avoiding = |tasks, retryable_machines| JobView {
+        avoided_machines: vec![0],
+        retryable_machines,
+        ..gang(1, tasks, 5_000)
+    };
+    let machines = || vec![machine(4), machine(2), machine(2)];
+    let placed = |job| tasks_per_machine(&plan(&snapshot(machines(), vec![job])), 0, 3);
+    assert_eq!(placed(avoiding(4, vec![0])), vec![0, 2, 2], "it fits elsewhere");
+    assert_eq!(placed(avoiding(6, vec![])), vec![0, 0, 0], "the backoff lasts");
+    assert_eq!(placed(avoiding(6, vec![0])).iter().sum::<usize>(), 6);
+    let busy = vec![occupied_machine(4, 10_000), machine(2)];
+    let decided = plan(&snapshot(busy, vec![avoiding(6, vec![0])]));
+    assert_eq!(decided.reservation.map(|reserved| reserved.start_ms), Some(10_000));
+}
+
 #[test]
 fn a_gang_goes_where_its_image_is_cached_and_the_next_heartbeat_is_soon() {
     let (mut without_image, mut late_heartbeat, soon_heartbeat) =
--- a/src/coordination/planner_input/jobs.rs
+++ b/src/coordination/planner_input/jobs.rs
@@ -78,10 +78,6 @@
         let mut machines = AvoidedMachines::default();
         for (name, may_retry) in job.failures.avoided_machines(self.now_ms) {
             let Some(&index) = self.machine_indices.get(name) else { continue };
-            // A gang needs all its machines at once, so one that may be retried counts as any other.
-            if may_retry && job.is_gang() {
-                continue;
-            }
             machines.avoided.push(index);
             if may_retry && !self.is_trying(job, name) {
                 machines.retryable.push(index);
